--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+BUILD ?= build
+SEED ?= 1
+STEPS ?= 200000
+
+.PHONY: all packages configure build test demo bench soak capacity format check-format lint
+
+all: build
+
+packages:
+	scripts/install_packages.sh
+
+configure: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: configure
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	$(BUILD)/masticshunt demo
+
+bench: build
+	$(BUILD)/masticshunt bench --seed $(SEED)
+
+soak: build
+	$(BUILD)/soak --seed $(SEED) --steps $(STEPS)
+
+capacity: build
+	$(BUILD)/capacity
+
+format:
+	git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+check-format:
+	git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
+
+lint: configure
+	scripts/lint.sh $(BUILD)
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over every source file of the product in parallel.
+# The file that holds websocketpp is left out: the library is C++17 and fills the output with its own findings.
+set -euo pipefail
+build="${1:-build}"
+git ls-files 'src/*.cpp' | grep -v 'websocket_transport.cpp' |
+  xargs -P "$(nproc)" -n 1 clang-tidy-16 -p "$build" --quiet 2> >(grep -vE 'warnings? generated|Suppressed|Use -header-filter' >&2 || true)
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("masticshunt " MASTICSHUNT_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/tests/base/identity_test.cpp
@@ -0,0 +1,24 @@
+#include "masticshunt/base/identity.h"
+
+#include "expect.h"
+
+using masticshunt::fence_token;
+using masticshunt::hash_range;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_false;
+using masticshunt::testing::expect_true;
+
+Test(hash_range, contains_both_of_its_ends) {
+  const hash_range range{10, 20};
+  expect_true(range.contains(10));
+  expect_true(range.contains(20));
+  expect_false(range.contains(21));
+}
+
+Test(fence_token, orders_by_epoch_before_sequence) {
+  expect_true(fence_token{2, 0} > fence_token{1, 99});
+}
+
+Test(hash_of_key, is_the_same_on_every_machine) {
+  expect_equal(masticshunt::hash_of_key(""), 0xef46db3751d8e999ULL);
+}
