Add the records of routing intent and the registry of those in force

Change: strict JSON of schema 1 and 2 from tables of member pointers; the registry takes strictly newer versions only, and a version that it cannot read makes its service unsupported. Schema 2 of a service brings the home regions of its groups.

--- a/include/masticshunt/decisions/configuration/records.h
+++ b/include/masticshunt/decisions/configuration/records.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "masticshunt/base/failure.h"
 #include "masticshunt/base/identity.h"
@@ -29,6 +30,9 @@
   isolation_policy isolation = isolation_policy::stay;
   std::chrono::milliseconds repeat_window{60'000};  ///< How late a caller may repeat a request.
   std::chrono::milliseconds default_deadline{10'000};
+  /// Home regions, from schema 2 on: group g has its coordinators and owners in region
+  /// g modulo the length of the list while that region has members. Empty for no homes.
+  std::vector<std::string> regions{};
 
   bool operator==(const service_record&) const = default;
 };
@@ -78,15 +82,74 @@
   bool operator==(const record&) const = default;
 };
 
-/// Returns the store name of `what`, for example "config/rank/schedule-viewer.urgent".
+/// The kinds of records, in the order of `record_body`.
+enum class record_kind { service, rank, key_range, drain };
+
+/// Returns the name of `kind` in store names and on the command line, for example "key-range".
+std::string_view to_string(record_kind kind);
+
+/// Returns the kind that is called `name`, or nothing.
+std::optional<record_kind> kind_from(std::string_view name);
+
+/// Returns the kind of `what`.
+record_kind kind_of(const record& what);
+
+/// Returns the name of `what` within its kind, for example "schedule-viewer.urgent".
+std::string name_of(const record& what);
+
+/// Returns the service that `what` belongs to; empty for a drain order.
+std::string service_of(const record& what);
+
+/// How the value of a field is written.
+enum class field_type { text, count, share, number, flag, time_span, isolation, hashes, text_list };
+
+/// One field of a kind of record, for programs that read or print records field by field.
+struct field_description {
+  std::string_view name;
+  field_type type = field_type::text;
+  std::uint32_t since_schema = 1;
+};
+
+/// Returns the fields that `kind` has in `schema_version`, without those that its name holds.
+std::vector<field_description> fields_of(record_kind kind, std::uint32_t schema_version);
+
+/// Who wrote a stored record. It is no part of the record's meaning.
+struct write_stamp {
+  std::string write_id;   ///< Unique to the write, so that a lost answer can be resolved.
+  std::string edited_by;  ///< The operator, for conflict messages.
+};
+
+/// Why a record was refused, and the field at fault (empty if it is none in particular).
+struct record_fault {
+  failure reason;
+  std::string field;
+};
+
+/// Returns the store name of a record, for example "config/rank/schedule-viewer.urgent".
+std::string object_name(record_kind kind, std::string_view name);
+
+/// Returns the store name of `what`.
 std::string object_name(const record& what);
 
-/// Returns the stored form of `what` (JSON with its schema version).
-std::string to_value(const record& what);
+/// Returns the stored form of `what`: JSON with its schema version and every field of it, so that
+/// a later change of a default changes no stored record. Fields that the schema version of `what`
+/// does not have are left out.
+std::string to_value(const record& what, const write_stamp& stamp = {});
 
 /// Returns the record stored under `object_name`, or nothing with `reason` filled
-/// (kind `unsupported` for a schema version newer than this build reads).
+/// (kind `unsupported` for a schema version newer than this build reads). Unknown, missing and
+/// out-of-range fields are refused; no value is taken to mean what an older schema meant by it.
 std::optional<record> from_value(std::string_view object_name, std::string_view value,
                                  failure& reason);
 
+/// Does the same, and also names the field at fault.
+std::optional<record> from_value(std::string_view object_name, std::string_view value,
+                                 record_fault& fault);
+
+/// Returns the stamp of a stored value; its members are empty where the value has none.
+write_stamp stamp_of(std::string_view value);
+
+/// Returns true if `name` may name a record: 1 to 64 of a-z, A-Z, 0-9, '-' and '_'.
+bool is_record_name(std::string_view name);
+
 }  // namespace masticshunt::configuration
--- /dev/null
+++ b/include/masticshunt/decisions/configuration/registry.h
@@ -0,0 +1,118 @@
+/// @file
+/// The records of routing intent that are in force at one agent.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "masticshunt/base/failure.h"
+#include "masticshunt/decisions/configuration/records.h"
+
+namespace masticshunt::configuration {
+
+/// What became of an object that was offered to the registry.
+enum class apply_result {
+  in_force,    ///< The object is newer and in force now.
+  not_newer,   ///< The same or a newer version is known already; nothing changed.
+  unreadable,  ///< It is newer and cannot be read: its service is refused until it can be.
+  foreign      ///< Its name is not that of a record; nothing changed.
+};
+
+/// How requests for a service are to be treated.
+enum class service_state {
+  unknown,     ///< No record names it.
+  ready,       ///< Its record is in force.
+  unsupported  ///< A newest version of one of its records cannot be read here.
+};
+
+/// An object whose newest version cannot be read here.
+struct unreadable_object {
+  std::string name;
+  std::uint64_t version = 0;
+  failure reason;
+};
+
+/// The records in force at one agent.
+///
+/// Only strictly newer versions of an object are taken; a deletion is a version too. A version
+/// that cannot be read replaces the one before it: the service that it belongs to is unsupported
+/// until a readable version follows, and never falls back to the older meaning.
+/// Life cycle: construct empty; `apply` every object of a list or a watch, in any order.
+/// Thread safety: none; the shell holds its `core` lock.
+///
+///     registry records;
+///     records.apply(object.name, object.version, object.value);
+///     if (records.state_of("booking-ledger") == service_state::ready) ...
+class registry {
+ public:
+  /// Takes in version `version` of an object. An empty `value` means that it was deleted.
+  apply_result apply(std::string_view name, std::uint64_t version, std::string_view value);
+
+  /// Returns how requests for `service` are to be treated.
+  [[nodiscard]] service_state state_of(std::string_view service) const;
+  /// Returns the record of `name`, or nothing unless its state is `ready`.
+  [[nodiscard]] std::optional<service_record> service(std::string_view name) const;
+  /// Returns the records of all services that are ready, by name.
+  [[nodiscard]] std::vector<service_record> services() const;
+  /// Returns the names of all services that have a readable record, ready or not.
+  [[nodiscard]] std::vector<std::string> service_names() const;
+  /// Returns the ranks of `service`, the most urgent first; equal orders by name.
+  [[nodiscard]] std::vector<rank_record> ranks(std::string_view service) const;
+  /// Returns the index of `rank` in `ranks(service)`, or nothing.
+  [[nodiscard]] std::optional<std::uint32_t> rank_index(std::string_view service,
+                                                        std::string_view rank) const;
+  /// Returns the wishes about stretches of the key space of `service`, by first hash.
+  [[nodiscard]] std::vector<key_range_record> key_ranges(std::string_view service) const;
+  /// Returns all drain orders, by name.
+  [[nodiscard]] std::vector<drain_record> drains() const;
+  /// Returns true if an order drains `agent` or its failure domain.
+  [[nodiscard]] bool drained(std::string_view agent, std::string_view failure_domain) const;
+
+  /// Returns the newest version taken in, deletions included.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  /// Returns the known version of an object, deleted ones included; 0 if it is unknown.
+  [[nodiscard]] std::uint64_t version_of(std::string_view name) const;
+  /// Returns the objects whose newest version cannot be read here.
+  [[nodiscard]] std::vector<unreadable_object> unreadable() const;
+  /// Returns what is wrong between the records of `service`: floors that sum to more than 1, or a
+  /// default rank that does not exist.
+  [[nodiscard]] std::vector<failure> problems(std::string_view service) const;
+
+  /// Forgets deleted objects up to `revision`. From then on an unknown object of that revision or
+  /// older is not newer; call it only when everything up to `revision` has been applied.
+  void forget_deletions(std::uint64_t revision);
+
+ private:
+  struct entry {
+    std::uint64_t version = 0;
+    std::optional<record> content;  ///< Empty if deleted or unreadable.
+    std::optional<failure> fault;   ///< Set if unreadable.
+  };
+  using entries = std::map<std::string, entry, std::less<>>;
+
+  template <class Record>
+  [[nodiscard]] std::vector<Record> collect(std::string_view prefix) const;
+  [[nodiscard]] const entry* find(std::string_view name) const;
+  [[nodiscard]] bool any_unreadable(std::string_view prefix) const;
+
+  entries entries_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t forgotten_ = 0;
+};
+
+/// A change that is about to be written: the store name and value; an empty value deletes.
+struct planned_change {
+  std::string name;
+  std::string value;
+};
+
+/// Returns what `changes`, taken together, would break between the records in `records`, or
+/// nothing. Operators' commands ask this before they write. What is broken already is not counted.
+std::optional<failure> breakage(const registry& records,
+                                const std::vector<planned_change>& changes);
+
+}  // namespace masticshunt::configuration
