Add the store stand-in, the store client and the table of commands

Change: a Beast server in memory with fault switches and counts; an asynchronous client over kept connections with deadlines, jittered back-off, a token bucket and detection of silent connections; a docopt table in which a command is one entry; the command store-stand-in. Conclusion: the agent's shell and the operator's commands can use the store.

--- a/include/masticshunt/platform/store_client.h
+++ b/include/masticshunt/platform/store_client.h
@@ -42,7 +42,11 @@
 /// An asynchronous client of the store with a rate budget, deadlines and jittered back-off.
 ///
 /// A write whose answer was lost is resolved by reading the object back and comparing the identity
-/// that every write carries; it is never sent twice blindly.
+/// that every write carries ("write_id" in its JSON value); it is never sent twice blindly. If that
+/// does not succeed before the deadline, the failure says that the write may have taken effect.
+/// Calls that would exceed the budget wait; those that would wait past their deadline end with
+/// `over_budget`. A kept connection that answers much later than usual is taken for silent, and the
+/// call moves to a new one.
 /// Life cycle: handlers are called on the executor, each once, also when the client is stopped.
 /// Thread safety: all members may be called from any thread.
 class store_client {
@@ -62,6 +66,10 @@
   /// Lists a prefix, or waits for a change of it.
   void async_list(const ownership::store_list& call,
                   std::function<void(ownership::store_list_done)> handler);
+  /// Deletes one object if its version is `call.expected_version`; `call.value` is not used. A
+  /// deletion whose answer was lost, and that shows when read back, has version 0.
+  void async_remove(const ownership::store_write& call,
+                    std::function<void(ownership::store_write_done)> handler);
   /// Ends all calls with `unavailable`.
   void stop();
   /// Returns the counts so far.
--- /dev/null
+++ b/include/masticshunt/support/socket_options.h
@@ -0,0 +1,22 @@
+/// @file
+/// Options that make long-lived connections notice a silent other side.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+
+namespace masticshunt::support {
+
+/// How soon the kernel gives up a connection whose other side is silent.
+struct silence_limits {
+  std::chrono::milliseconds user_timeout{2'000};  ///< For sent data that is not acknowledged.
+  std::chrono::seconds keepalive_idle{2};         ///< Quiet time before the first probe.
+  std::chrono::seconds keepalive_interval{1};
+  int keepalive_probes = 3;
+};
+
+/// Sets TCP_NODELAY, TCP_USER_TIMEOUT and keep-alive probes. Options that the system refuses are
+/// left as they are.
+void bound_silence(boost::asio::ip::tcp::socket& socket, const silence_limits& limits = {});
+
+}  // namespace masticshunt::support
--- a/src/decisions/configuration/records.cpp
+++ b/src/decisions/configuration/records.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::string_view object_prefix = "config/";
 constexpr std::size_t name_length_max = 64;
-constexpr std::size_t value_bytes_max = 64 * 1024;
+constexpr std::size_t value_bytes_max = 65'536;
 constexpr std::array<std::string_view, 4> kind_names{"service", "rank", "key-range", "drain"};
 constexpr std::array<std::string_view, 4> envelope_fields{"schema_version", "write_id", "edited_by",
                                                           "body"};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,58 @@
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <cstdio>
+#include <iterator>
 
-int main() {
-  std::puts("masticshunt " MASTICSHUNT_VERSION);
-  return 0;
+#include "masticshunt/operator/command.h"
+#include "masticshunt/platform/store_stand_in.h"
+
+namespace {
+
+using masticshunt::operators::arguments;
+using masticshunt::operators::command;
+using masticshunt::operators::exit_ok;
+using masticshunt::operators::exit_usage;
+using masticshunt::operators::text_argument;
+
+int run_version(const arguments& /*with*/) {
+  std::puts("masticshunt " MASTICSHUNT_VERSION " (built " __DATE__ ", compiler " __VERSION__ ")");
+  return exit_ok;
+}
+
+int run_store_stand_in(const arguments& with) {
+  const auto text = text_argument(with, "--port").value_or("");
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    std::fputs("masticshunt: --port is no port; write a number from 0 to 65535\n", stderr);
+    return exit_usage;
+  }
+  boost::asio::io_context context;
+  masticshunt::platform::store_stand_in store(context.get_executor(), port);
+  std::printf("store stand-in listens on %s\n", store.address().c_str());
+  std::fflush(stdout);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](const auto&, int) { context.stop(); });
+  context.run();
+  return exit_ok;
+}
+
+constexpr std::array local_commands{
+    command{"store-stand-in", "Runs an in-memory stand-in of the platform's store",
+            "  masticshunt store-stand-in [--port=N]\n\nOptions:\n"
+            "  --port=N  The port on 127.0.0.1 [default: 4700].\n",
+            &run_store_stand_in},
+    command{"version", "Prints the version and build", "  masticshunt version\n", &run_version},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto remote = masticshunt::operators::operator_commands();
+  std::vector<command> commands(remote.begin(), remote.end());
+  std::ranges::copy(local_commands, std::back_inserter(commands));
+  return masticshunt::operators::run_command(commands, {argv + 1, argv + argc});
 }
--- /dev/null
+++ b/src/platform/call_pacing.cpp
@@ -0,0 +1,59 @@
+#include "platform/internal/call_pacing.h"
+
+#include <algorithm>
+
+namespace masticshunt::platform {
+
+namespace {
+
+constexpr duration allowance_least = std::chrono::milliseconds{150};
+constexpr int allowance_factor = 4;
+constexpr double slowest_decay = 0.95;
+constexpr std::uint32_t doublings_max = 16;
+
+}  // namespace
+
+rate_budget::rate_budget(double per_second, double burst)
+    : per_call_(
+          std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / per_second))),
+      window_(std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(std::max(burst, 1.0) / per_second))),
+      empty_until_(time_point::min()) {}
+
+std::optional<time_point> rate_budget::reserve(time_point now, time_point latest) {
+  const auto earliest_full = now - window_;
+  const auto next_empty = std::max(empty_until_, earliest_full) + per_call_;
+  const auto start = std::max(now, next_empty);
+  if (start > latest) return std::nullopt;
+  empty_until_ = next_empty;
+  return start;
+}
+
+backoff::backoff(std::chrono::milliseconds first, std::chrono::milliseconds most,
+                 std::uint64_t seed)
+    : first_(first), most_(most), random_(seed) {}
+
+void backoff::failed(time_point now) {
+  const auto doubled = first_ * (std::int64_t{1} << std::min(failures_, doublings_max));
+  ++failures_;
+  std::uniform_real_distribution<double> draw(0, 1);
+  const std::chrono::duration<double, std::milli> wait =
+      draw(random_) * std::chrono::duration<double, std::milli>(std::min(doubled, most_));
+  not_before_ = now + std::chrono::duration_cast<duration>(wait);
+}
+
+void backoff::succeeded() {
+  failures_ = 0;
+  not_before_ = time_point::min();
+}
+
+void silence_estimate::answered(duration latency) {
+  const auto decayed = std::chrono::duration_cast<duration>(slowest_ * slowest_decay);
+  slowest_ = std::max(latency, decayed);
+}
+
+duration silence_estimate::allowance() const {
+  return std::max(allowance_least, slowest_ * allowance_factor);
+}
+
+}  // namespace masticshunt::platform
--- /dev/null
+++ b/src/platform/http_exchange.cpp
@@ -0,0 +1,119 @@
+#include "platform/internal/http_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "masticshunt/support/clock.h"
+#include "masticshunt/support/socket_options.h"
+#include "platform/internal/url_text.h"
+
+namespace masticshunt::platform {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t response_bytes_max = 256 * 1'048'576ULL;
+constexpr duration idle_age_max = std::chrono::seconds{30};
+constexpr std::size_t idle_connections_max = 4;
+
+std::optional<tcp::endpoint> parse_endpoint(const endpoint& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  const auto port = whole_number(std::string_view(text).substr(colon + 1));
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(text.substr(0, colon), error);
+  if (error || !port || *port == 0 || *port > 65'535) return std::nullopt;
+  return tcp::endpoint{address, static_cast<std::uint16_t>(*port)};
+}
+
+}  // namespace
+
+http_exchange::http_exchange(asio::any_io_executor strand, std::vector<endpoint> addresses)
+    : strand_(std::move(strand)), addresses_(std::move(addresses)) {}
+
+http_exchange::connection_pointer http_exchange::take_idle() {
+  const auto oldest = boot_now() - idle_age_max;
+  idle_.remove_if([&](const auto& each) { return each->last_used < oldest; });
+  if (idle_.empty()) return nullptr;
+  auto result = idle_.back();
+  idle_.pop_back();
+  return result;
+}
+
+void http_exchange::give_back(const connection_pointer& used) {
+  if (closed_ || idle_.size() >= idle_connections_max) return;
+  used->last_used = boot_now();
+  used->stream.expires_never();
+  idle_.push_back(used);
+}
+
+asio::awaitable<http_exchange::lease_of_connection> http_exchange::acquire(time_point deadline) {
+  if (auto kept = take_idle()) co_return lease_of_connection{std::move(kept), true, {}};
+  if (addresses_.empty()) co_return lease_of_connection{nullptr, false, "no address of the store"};
+  const auto& address = addresses_[next_address_ % addresses_.size()];
+  const auto place = parse_endpoint(address);
+  if (!place) {
+    ++next_address_;
+    co_return lease_of_connection{nullptr, false, address + " is no IP number and port"};
+  }
+  auto opened = std::make_shared<connection>(strand_);
+  running_.emplace_back(opened);
+  opened->stream.expires_after(deadline - boot_now());
+  auto [error] = co_await opened->stream.async_connect(*place, tuple_awaitable);
+  if (error) {
+    ++next_address_;
+    co_return lease_of_connection{nullptr, false, "connect to " + address + ": " + error.message()};
+  }
+  support::bound_silence(opened->stream.socket());
+  co_return lease_of_connection{std::move(opened), false, {}};
+}
+
+asio::awaitable<exchange_result> http_exchange::run(http_request request, time_point deadline,
+                                                    duration hold) {
+  running_.remove_if([](const auto& each) { return each.expired(); });
+  if (closed_) co_return exchange_result{std::nullopt, false, "the client is stopped"};
+  auto used = co_await acquire(deadline);
+  if (!used.held) co_return exchange_result{std::nullopt, false, std::move(used.error)};
+
+  running_.emplace_back(used.held);
+  const auto started_at = boot_now();
+  auto limit = deadline;
+  if (used.kept) limit = std::min(limit, started_at + hold + silence_.allowance());
+  used.held->stream.expires_after(std::max(limit - started_at, duration{1}));
+  auto result = co_await send_and_receive(used.held, std::move(request));
+  if (!result.response) co_return result;
+  if (hold == duration::zero()) silence_.answered(boot_now() - started_at);
+  if (result.response->keep_alive()) give_back(used.held);
+  co_return result;
+}
+
+asio::awaitable<exchange_result> http_exchange::send_and_receive(connection_pointer used,
+                                                                 http_request request) {
+  request.prepare_payload();
+  auto [write_error, written] = co_await http::async_write(used->stream, request, tuple_awaitable);
+  if (write_error) co_return exchange_result{std::nullopt, true, "send: " + write_error.message()};
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(response_bytes_max);
+  auto [read_error, read_bytes] =
+      co_await http::async_read(used->stream, used->buffer, parser, tuple_awaitable);
+  if (!read_error) co_return exchange_result{parser.release(), true, {}};
+  if (read_error == beast::error::timeout) idle_.clear();
+  co_return exchange_result{std::nullopt, true, "receive: " + read_error.message()};
+}
+
+void http_exchange::close() {
+  closed_ = true;
+  idle_.clear();
+  for (const auto& each : running_) {
+    if (const auto alive = each.lock()) alive->stream.close();
+  }
+}
+
+}  // namespace masticshunt::platform
--- /dev/null
+++ b/src/support/socket_options.cpp
@@ -0,0 +1,27 @@
+#include "masticshunt/support/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace masticshunt::support {
+
+namespace {
+
+void set_number(int handle, int name, int value) {
+  ::setsockopt(handle, IPPROTO_TCP, name, &value, sizeof value);
+}
+
+}  // namespace
+
+void bound_silence(boost::asio::ip::tcp::socket& socket, const silence_limits& limits) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  const int handle = socket.native_handle();
+  set_number(handle, TCP_USER_TIMEOUT, static_cast<int>(limits.user_timeout.count()));
+  set_number(handle, TCP_KEEPIDLE, static_cast<int>(limits.keepalive_idle.count()));
+  set_number(handle, TCP_KEEPINTVL, static_cast<int>(limits.keepalive_interval.count()));
+  set_number(handle, TCP_KEEPCNT, limits.keepalive_probes);
+}
+
+}  // namespace masticshunt::support
--- /dev/null
+++ b/tests/platform/call_pacing_test.cpp
@@ -0,0 +1,66 @@
+#include "platform/internal/call_pacing.h"
+
+#include "expect.h"
+
+using namespace masticshunt;
+using namespace masticshunt::platform;
+using namespace std::chrono_literals;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_false;
+using masticshunt::testing::expect_true;
+
+namespace {
+constexpr time_point start{100s};
+}  // namespace
+
+Test(rate_budget, grants_its_burst_at_once_and_then_its_rate) {
+  rate_budget budget(2, 3);
+  for (int call = 0; call < 3; ++call) expect_true(budget.reserve(start, start + 9s) == start);
+  expect_true(budget.reserve(start, start + 9s) == start + 500ms);
+  expect_true(budget.reserve(start, start + 9s) == start + 1s);
+}
+
+Test(rate_budget, takes_nothing_for_a_call_that_would_start_too_late) {
+  rate_budget budget(1, 1);
+  budget.reserve(start, start);
+  expect_false(budget.reserve(start, start + 999ms).has_value());
+  expect_true(budget.reserve(start, start + 1s) == start + 1s);
+}
+
+Test(rate_budget, keeps_its_rate_over_a_long_run) {
+  rate_budget budget(5, 20);
+  int granted = 0;
+  for (auto now = start; now < start + 100s; now += 10ms) {
+    if (budget.reserve(now, now)) ++granted;
+  }
+  expect_true(granted <= 520);
+  expect_true(granted >= 519);
+}
+
+Test(backoff, grows_to_its_bound_and_ends_with_a_success) {
+  backoff each(50ms, 2s, 3);
+  duration longest{};
+  for (int failures = 0; failures < 100; ++failures) {
+    each.failed(start);
+    longest = std::max(longest, each.not_before() - start);
+  }
+  expect_true(longest > 1s);
+  expect_true(longest <= 2s);
+  each.succeeded();
+  expect_true(each.not_before() < start);
+}
+
+Test(backoff, is_spread_between_clients) {
+  backoff one(1s, 1s, 1);
+  backoff other(1s, 1s, 2);
+  one.failed(start);
+  other.failed(start);
+  expect_true(one.not_before() != other.not_before());
+}
+
+Test(silence_estimate, follows_a_store_that_becomes_slow) {
+  silence_estimate each;
+  expect_true(each.allowance() == 150ms);
+  each.answered(600ms);
+  expect_true(each.allowance() == 2400ms);
+}
--- /dev/null
+++ b/tests/platform/store_stand_in_test.cpp
@@ -0,0 +1,114 @@
+#include "masticshunt/platform/store_stand_in.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <random>
+
+#include "expect.h"
+#include "platform/internal/url_text.h"
+#include "store_fixture.h"
+
+using namespace masticshunt;
+using namespace masticshunt::platform;
+using masticshunt::platform::testing::store_fixture;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_false;
+using masticshunt::testing::expect_true;
+
+namespace {
+
+/// Sends `bytes` to the stand-in on a connection of their own and waits until it was closed there.
+void send_and_close(store_fixture& to, const std::string& bytes) {
+  using boost::asio::ip::tcp;
+  tcp::socket socket(to.context);
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), to.store.port()});
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  socket.shutdown(tcp::socket::shutdown_send);
+  bool closed = false;
+  std::string answer;
+  std::function<void()> drain = [&] {
+    answer.resize(4096);
+    socket.async_read_some(boost::asio::buffer(answer), [&](const auto& error, std::size_t) {
+      if (error) {
+        closed = true;
+      } else {
+        drain();
+      }
+    });
+  };
+  drain();
+  to.run_until([&] { return closed; });
+}
+
+}  // namespace
+
+Test(store_stand_in, counts_every_call_and_the_watches_that_wait) {
+  store_fixture each;
+  each.write("a", 0, "{}");
+  each.write("a", 0, "{}");
+  each.read("a");
+  each.client.async_list({1, "a", 99}, [](auto) {});
+  each.run_until([&] { return each.store.counts().waiting_watches == 1; });
+  expect_equal(each.store.counts().calls, 4U);
+  expect_equal(each.store.counts().writes, 2U);
+  expect_equal(each.store.counts().conflicts, 1U);
+  expect_equal(each.store.counts().applied, 1U);
+}
+
+Test(store_stand_in, ends_a_watch_whose_client_left) {
+  store_fixture each;
+  each.client.async_list({1, "a", 99}, [](auto) {});
+  each.run_until([&] { return each.store.counts().waiting_watches == 1; });
+  each.client.stop();
+  each.run_until([&] { return each.store.counts().waiting_watches == 0; });
+}
+
+Test(store_stand_in, serves_again_after_it_was_down) {
+  store_fixture each;
+  each.store.put("a", "{}");
+  each.store.set_down(true);
+  expect_false(each.read("a").object.has_value());
+  each.store.set_down(false);
+  expect_true(each.read("a").object.has_value());
+}
+
+Test(store_stand_in, gives_every_change_a_version_of_its_own) {
+  store_fixture each;
+  const auto first = each.store.put("a", "{}");
+  each.store.remove("a");
+  expect_equal(each.store.put("a", "{}"), first + 2);
+}
+
+Test(store_stand_in, survives_any_bytes) {
+  store_fixture each;
+  std::mt19937_64 random{11};
+  const std::string valid =
+      "PUT /objects/a HTTP/1.1\r\nHost: x\r\nIf-None-Match: *\r\nContent-Length: 2\r\n\r\n{}";
+  for (int round = 0; round < 500; ++round) {
+    auto bytes = valid;
+    for (int edits = 0; edits < 3; ++edits) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    send_and_close(each, bytes);
+  }
+  expect_equal(each.read("none").reason.kind, failure_kind::not_found);
+}
+
+Test(url_text, decodes_what_it_encoded) {
+  const std::string text = "config/a b%/\xc3\xbc?&=\"";
+  expect_equal(*percent_decode(percent_encode(text)), text);
+  expect_false(percent_decode("%4").has_value());
+  expect_false(percent_decode("%zz").has_value());
+}
+
+Test(url_text, finds_query_parameters_by_their_whole_name) {
+  expect_equal(*query_parameter("/list?xprefix=1&prefix=a%2Fb", "prefix"), "a/b");
+  expect_false(query_parameter("/list", "prefix").has_value());
+}
+
+Test(url_text, takes_entity_tags_in_quotes_only) {
+  expect_equal(*version_of_tag("\"17\""), 17U);
+  expect_false(version_of_tag("17").has_value());
+  expect_false(version_of_tag("\"-1\"").has_value());
+}
