Decide admission, repeats and retries as pure functions

Cause: the shell calls the request decisions, which were headers only. Change: a gate with rank floors, turns between callers, deadline checks, stalled-key isolation and an adaptive limit over preallocated pools; a bounded repeat ledger with hand-over and the knowledge-gap rule; a retry policy with a budget; refusal_outcome for truthful refusals. Conclusion: the seam is usable; an identity that runs already is answered may-have-run, since the booking may run to its end.

--- a/include/masticshunt/decisions/requests/repeat_ledger.h
+++ b/include/masticshunt/decisions/requests/repeat_ledger.h
@@ -2,9 +2,12 @@
 /// Keeps a non-idempotent request from running twice.
 #pragma once
 
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "masticshunt/decisions/requests/types.h"
 
@@ -29,17 +32,61 @@
 /// What is known of an identity that was sent to the upstream.
 enum class run_knowledge { did_not_run, answered, unknown };
 
+/// Parts of the ledger that a test switches off to prove that its checks find the fault.
+struct ledger_faults {
+  bool forget_unknown = false;        ///< Forgets an identity whose end is unknown.
+  bool forget_when_full = false;      ///< Evicts the oldest identity when full.
+  bool ignore_knowledge_gap = false;  ///< Runs repeats that an earlier owner may have run.
+  bool ignore_stale_route = false;    ///< Trusts a first attempt routed to an earlier ownership.
+};
+
 /// Settings of the ledger.
 struct ledger_settings {
   duration repeat_window = std::chrono::seconds{60};
-  std::size_t capacity = 65'536;          ///< Identities remembered at the most.
-  std::size_t answer_bytes_kept = 4'096;  ///< Larger answers are not kept.
+  std::size_t capacity = 65'536;                 ///< Identities remembered at the most.
+  std::size_t answer_bytes_kept = 4'096;         ///< Larger answers are not kept.
+  std::size_t answer_bytes_total = 64UL << 20U;  ///< All kept answers together.
+  ledger_faults faults;
+};
+
+/// This agent's ownership of the range that a request's key lies in.
+struct ownership_view {
+  time_point owned_since = time_point::min();  ///< `min()` if no earlier owner existed.
+  fence_token fence{};
+  bool ledger_handed_over = false;  ///< True if the earlier owner's entries were imported.
+};
+
+/// One remembered identity in a hand-over to the next owner.
+struct ledger_entry {
+  std::string service;
+  key_hash hash = 0;
+  std::string identity;
+  std::string caller;
+  run_knowledge knowledge = run_knowledge::unknown;
+  duration age{};  ///< Since the identity was last in use; clocks differ between machines.
+  already_answered answer;
+};
+
+/// Counts of the ledger's verdicts and of its broken promises (which must stay zero).
+struct ledger_counts {
+  std::uint64_t runs = 0;
+  std::uint64_t repeats_answered = 0;
+  std::uint64_t repeats_refused = 0;
+  std::uint64_t refused_full = 0;
+  std::uint64_t over_capacity = 0;    ///< Broken promise: more identities than the capacity.
+  std::uint64_t forgotten_early = 0;  ///< Broken promise: forgotten within the repeat window.
 };
 
 /// Remembers which identities this owner has sent to its upstream.
 ///
-/// A request without a declared first attempt, whose identity is unknown, gets `may_have_run`
-/// while an earlier owner may have run it: until `repeat_window` after `owned_since`.
+/// A request whose identity is unknown gets `may_have_run` while an earlier owner may have run it:
+/// until `repeat_window` after `owned_since`, unless the earlier owner handed its entries over, or
+/// the caller declares a first attempt and the entry agent routed it by the present ownership.
+/// An identity is remembered until `repeat_window` after its last use. When the ledger is full, new
+/// identities are refused as not run; none is forgotten early.
+///
+/// Life cycle: one for each service that the agent owns ranges of. `begin` before the attempt is
+/// sent to the upstream, `ended` once for every `may_run`.
 /// Thread safety: none; the shell holds the gate's lock.
 class repeat_ledger {
  public:
@@ -54,12 +101,33 @@
   /// the key's range without a gap; pass `time_point::min()` if no earlier owner existed.
   repeat_verdict begin(const request_descriptor& request, time_point owned_since, time_point now);
 
+  /// Asks whether a non-idempotent request may run under the ownership `owner`.
+  repeat_verdict begin(const request_descriptor& request, const ownership_view& owner,
+                       time_point now);
+
   /// Reports how the request ended. `answer` is kept if `knowledge` is `answered`.
   void ended(const request_descriptor& request, run_knowledge knowledge, already_answered answer,
              time_point now);
 
+  /// Returns the entries of a range, for the next owner in a planned move. Entries that still run
+  /// are given as `unknown`; the caller finishes the range before it exports.
+  [[nodiscard]] std::vector<ledger_entry> export_range(std::string_view service,
+                                                       const hash_range& range,
+                                                       time_point now) const;
+
+  /// Takes entries of an earlier owner in. Returns false, with none taken, if they do not fit: the
+  /// range then counts as taken over without a hand-over.
+  bool import_entries(const std::vector<ledger_entry>& entries, time_point now);
+
+  /// Forgets the entries of a range that now belongs to somebody else.
+  void drop_range(std::string_view service, const hash_range& range);
+
   /// Returns how many identities are remembered.
   [[nodiscard]] std::size_t size() const;
+  /// Returns the bytes of kept answers.
+  [[nodiscard]] std::size_t answer_bytes() const;
+  /// Returns the counts so far.
+  [[nodiscard]] const ledger_counts& counts() const;
 
  private:
   struct state;
--- a/include/masticshunt/decisions/requests/retry.h
+++ b/include/masticshunt/decisions/requests/retry.h
@@ -27,6 +27,12 @@
 
 /// Grants retries within a budget that is a share of first attempts.
 ///
+/// A retry is granted only if the last attempt did not run or the request is idempotent, if
+/// another attempt can end differently, and if it can start before the deadline. The delay grows
+/// exponentially between half of its ceiling and its ceiling, by jitter.
+///
+/// Life cycle: one for each service at the entry; `first_attempt` once a request, `next_delay`
+/// after every failed attempt.
 /// Thread safety: none; the shell holds the lock of the entry.
 class retry_policy {
  public:
@@ -42,11 +48,19 @@
 
   /// Returns the retries granted so far.
   [[nodiscard]] std::uint64_t granted() const { return granted_; }
+  /// Returns the first attempts reported so far.
+  [[nodiscard]] std::uint64_t first_attempts() const { return first_attempts_; }
+  /// Returns the retries that only the budget forbade.
+  [[nodiscard]] std::uint64_t denied_by_budget() const { return denied_by_budget_; }
 
  private:
+  [[nodiscard]] duration backoff(std::uint32_t attempts_made, double jitter) const;
+
   retry_settings settings_;
   double tokens_ = 0;
   std::uint64_t granted_ = 0;
+  std::uint64_t first_attempts_ = 0;
+  std::uint64_t denied_by_budget_ = 0;
 };
 
 }  // namespace masticshunt::requests
--- a/include/masticshunt/decisions/requests/types.h
+++ b/include/masticshunt/decisions/requests/types.h
@@ -47,6 +47,9 @@
 /// Returns the machine-readable name of `reason`, for example "not_owner".
 std::string_view to_string(refusal_reason reason);
 
+/// How an attempt ended at the upstream.
+enum class attempt_result { answered, shed, error, timed_out, cancelled };
+
 /// A request as admission, the repeat ledger and retries see it.
 struct request_descriptor {
   attempt_id attempt = 0;
@@ -59,6 +62,14 @@
   std::optional<std::uint32_t> declared_attempt;  ///< 1 if the caller says it never sent it before.
   time_point deadline;
   std::uint64_t body_bytes = 0;  ///< Zero if unknown.
+  /// The owner's fence that the entry agent routed by; empty if it did not say.
+  std::optional<fence_token> routed_fence;
 };
 
+/// Returns the outcome that a refusal before the upstream may state truthfully.
+///
+/// A non-idempotent request that is not declared to be a first attempt may be a repeat of an
+/// attempt that ran, or still runs, elsewhere: its refusal says `may_have_run`.
+outcome refusal_outcome(const request_descriptor& request);
+
 }  // namespace masticshunt::requests
--- /dev/null
+++ b/src/decisions/requests/internal/attempt_pool.h
@@ -0,0 +1,101 @@
+/// @file
+/// The attempts that a gate holds: a pool, their lists, and their order of expiry.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "decisions/requests/internal/fixed_index.h"
+#include "masticshunt/base/identity.h"
+#include "masticshunt/base/time.h"
+#include "masticshunt/decisions/requests/types.h"
+
+namespace masticshunt::requests {
+
+/// Where an attempt stands.
+enum class attempt_place : std::uint8_t {
+  queued,  ///< In its caller's queue.
+  parked,  ///< Waiting until its key may hold another slot.
+  running
+};
+
+/// An attempt that waits or runs.
+struct attempt_entry {
+  attempt_id attempt = 0;
+  std::uint64_t caller = 0;  ///< Hash of the caller's name and the rank.
+  key_hash key = 0;
+  time_point offered_at{};
+  time_point started_at{};
+  time_point deadline{};
+  time_point expires_at{};  ///< When to give it up where it stands.
+  pool_index key_node = no_index;
+  pool_index previous = no_index;
+  pool_index next = no_index;
+  std::uint32_t heap_position = 0;
+  std::uint32_t rank = 0;
+  attempt_place place = attempt_place::queued;
+  bool overdue = false;  ///< Runs much longer than usual for its rank.
+};
+
+/// A list of attempts; the links are in the entries, and an entry is in one list at a time.
+struct attempt_list {
+  pool_index head = no_index;
+  pool_index tail = no_index;
+  std::uint32_t size = 0;
+};
+
+/// Owns the attempts of a gate and finds them by name, by list and by expiry.
+///
+/// Life cycle: sized once; `add` needs `full()` to be false. No operation allocates.
+/// Thread safety: none.
+class attempt_pool {
+ public:
+  explicit attempt_pool(std::size_t capacity);
+
+  /// Returns true if no further attempt can be held.
+  [[nodiscard]] bool full() const { return free_.empty(); }
+  /// Returns the number of attempts held.
+  [[nodiscard]] std::size_t size() const { return heap_.size(); }
+  /// Returns the place of an attempt, or `no_index`.
+  [[nodiscard]] pool_index find(attempt_id attempt) const { return by_attempt_.find(attempt); }
+  /// Returns the entry at a place.
+  [[nodiscard]] attempt_entry& at(pool_index place) { return entries_[place]; }
+  /// Returns the entry at a place.
+  [[nodiscard]] const attempt_entry& at(pool_index place) const { return entries_[place]; }
+
+  /// Holds a new attempt and orders it by its expiry.
+  pool_index add(const attempt_entry& entry);
+  /// Lets an attempt go; it must be in no list.
+  void release(pool_index place);
+  /// Changes when an attempt expires.
+  void set_expiry(pool_index place, time_point expires_at);
+  /// Returns the attempt that expires first, or `no_index`.
+  [[nodiscard]] pool_index first_to_expire() const { return heap_.empty() ? no_index : heap_[0]; }
+
+  /// Calls `visit` with every attempt held.
+  template <class Visitor>
+  void for_each(Visitor visit) const {
+    for (const pool_index place : heap_) visit(entries_[place]);
+  }
+
+  /// Appends an attempt to a list.
+  void push_back(attempt_list& list, pool_index place);
+  /// Puts an attempt at the front of a list.
+  void push_front(attempt_list& list, pool_index place);
+  /// Takes an attempt out of its list.
+  void unlink(attempt_list& list, pool_index place);
+
+ private:
+  void sift_up(std::uint32_t position);
+  void sift_down(std::uint32_t position);
+  void place_in_heap(std::uint32_t position, pool_index place);
+  [[nodiscard]] bool expires_before(pool_index left, pool_index right) const;
+
+  std::vector<attempt_entry> entries_;
+  std::vector<pool_index> free_;
+  std::vector<pool_index> heap_;
+  fixed_index by_attempt_;
+};
+
+}  // namespace masticshunt::requests
--- /dev/null
+++ b/src/decisions/requests/internal/fixed_index.h
@@ -0,0 +1,73 @@
+/// @file
+/// A map from 64-bit keys to places in a pool, with a fixed capacity and no allocation in use.
+#pragma once
+
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace masticshunt::requests {
+
+/// A place in a pool.
+using pool_index = std::uint32_t;
+/// Stands for no place.
+inline constexpr pool_index no_index = UINT32_MAX;
+
+/// Maps 64-bit keys to pool places by open addressing with linear probing.
+///
+/// Life cycle: sized once for the largest number of keys it will hold.
+/// Thread safety: none.
+class fixed_index {
+ public:
+  explicit fixed_index(std::size_t keys_max)
+      : cells_(std::bit_ceil(2 * keys_max + 2)), mask_(cells_.size() - 1) {}
+
+  /// Returns the place stored for `key`, or `no_index`.
+  [[nodiscard]] pool_index find(std::uint64_t key) const {
+    for (std::size_t at = home(key); cells_[at].place != no_index; at = next(at))
+      if (cells_[at].key == key) return cells_[at].place;
+    return no_index;
+  }
+
+  /// Stores a key that is not in the map yet.
+  void insert(std::uint64_t key, pool_index place) {
+    std::size_t at = home(key);
+    while (cells_[at].place != no_index) at = next(at);
+    cells_[at] = {key, place};
+  }
+
+  /// Removes `key` if it is in the map.
+  void erase(std::uint64_t key) {
+    std::size_t hole = home(key);
+    while (cells_[hole].place != no_index && cells_[hole].key != key) hole = next(hole);
+    if (cells_[hole].place == no_index) return;
+    for (std::size_t at = next(hole); cells_[at].place != no_index; at = next(at)) {
+      if (distance(home(cells_[at].key), at) < distance(hole, at)) continue;
+      cells_[hole] = cells_[at];
+      hole = at;
+    }
+    cells_[hole] = {};
+  }
+
+ private:
+  struct cell {
+    std::uint64_t key = 0;
+    pool_index place = no_index;
+  };
+
+  [[nodiscard]] std::size_t home(std::uint64_t key) const {
+    constexpr std::uint64_t mix_multiplier = 0x9E3779B97F4A7C15ULL;
+    const std::uint64_t mixed = (key ^ (key >> 32U)) * mix_multiplier;
+    return static_cast<std::size_t>(mixed >> 20U) & mask_;
+  }
+  [[nodiscard]] std::size_t next(std::size_t at) const { return (at + 1) & mask_; }
+  [[nodiscard]] std::size_t distance(std::size_t from, std::size_t to) const {
+    return (to - from) & mask_;
+  }
+
+  std::vector<cell> cells_;
+  std::size_t mask_;
+};
+
+}  // namespace masticshunt::requests
--- /dev/null
+++ b/src/decisions/requests/internal/gate_state.h
@@ -0,0 +1,82 @@
+/// @file
+/// The state of a gate and the steps that its events are made of.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "decisions/requests/internal/attempt_pool.h"
+#include "decisions/requests/internal/caller_table.h"
+#include "decisions/requests/internal/key_table.h"
+#include "decisions/requests/internal/rank_shares.h"
+#include "decisions/requests/internal/service_estimate.h"
+#include "masticshunt/decisions/requests/gate.h"
+
+namespace masticshunt::requests {
+
+/// What a gate keeps of one rank besides its share.
+struct rank_queue {
+  caller_ring callers;
+  attempt_list running;                  ///< In the order of their starts.
+  pool_index first_unjudged = no_index;  ///< The first running attempt that is not overdue yet.
+  service_estimate service;
+  std::uint32_t parked = 0;
+  time_point backlog_since;  ///< When attempts began to wait; meaningful while any waits.
+};
+
+/// The gate's tables and the steps on them.
+struct gate::state {
+  /// `held` is the number of attempts that will be adopted.
+  explicit state(gate_settings given, std::size_t held = 0);
+
+  void offer(const request_descriptor& request, time_point now, gate_actions& actions);
+  void finish(pool_index place, attempt_result result, time_point now);
+  void forget_waiting(pool_index place);
+  void advance(time_point now);
+  void expire(time_point now, gate_actions& actions);
+  void dispatch(time_point now, gate_actions& actions);
+  /// Takes the attempts of `other` over, by the names of their ranks.
+  void adopt(const state& other, time_point now);
+
+  [[nodiscard]] std::uint32_t waiting(std::size_t rank) const;
+  [[nodiscard]] duration longest_usual_service() const;
+  [[nodiscard]] duration retry_after(std::size_t rank) const;
+
+  gate_settings settings;
+  attempt_pool attempts;
+  caller_table callers;
+  key_table keys;
+  rank_shares shares;
+  std::vector<rank_queue> ranks;
+  concurrency_limit limit;
+  gate_counts counts;
+  std::uint32_t running = 0;
+  std::uint32_t rank_capacity;
+
+ private:
+  [[nodiscard]] bool can_meet_deadline(const attempt_entry& entry, time_point now) const;
+  [[nodiscard]] bool has_lasting_backlog(std::size_t rank, time_point now) const;
+  [[nodiscard]] bool make_room(const attempt_entry& entry, time_point now, gate_actions& actions);
+  [[nodiscard]] std::uint32_t allowance(const key_node& key) const;
+  [[nodiscard]] duration overdue_after(std::size_t rank) const;
+  [[nodiscard]] time_point waits_until(const attempt_entry& entry) const;
+  [[nodiscard]] std::optional<pool_index> take(std::size_t rank, time_point now,
+                                               gate_actions& actions);
+  [[nodiscard]] pool_index next_in_turn(std::size_t rank, time_point now) const;
+  [[nodiscard]] bool waited_too_long(const attempt_entry& entry, time_point now) const;
+
+  void refuse(attempt_id attempt, std::size_t rank, refusal_reason reason, gate_actions& actions);
+  void refuse_waiting(pool_index place, refusal_reason reason, gate_actions& actions);
+  void enqueue(pool_index place, time_point now);
+  void dequeue(pool_index place);
+  void park(pool_index place);
+  void unpark(pool_index key_place);
+  void start(pool_index place, time_point now, gate_actions& actions);
+  void insert_running(pool_index place);
+  void mark_overdue(time_point now);
+  void learn(const attempt_entry& entry, attempt_result result, time_point now);
+};
+
+}  // namespace masticshunt::requests
--- /dev/null
+++ b/src/decisions/requests/repeat_ledger.cpp
@@ -0,0 +1,246 @@
+#include "masticshunt/decisions/requests/repeat_ledger.h"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <list>
+#include <unordered_map>
+#include <utility>
+
+namespace masticshunt::requests {
+
+namespace {
+
+struct identity_key {
+  std::string service;
+  key_hash hash = 0;
+  std::string identity;
+
+  bool operator==(const identity_key&) const = default;
+};
+
+struct identity_key_hash {
+  std::size_t operator()(const identity_key& key) const {
+    const std::hash<std::string> text_hash;
+    return text_hash(key.identity) ^ (text_hash(key.service) * 31U) ^ key.hash;
+  }
+};
+
+struct remembered {
+  bool running = true;
+  run_knowledge knowledge = run_knowledge::unknown;
+  std::string caller;
+  time_point last_used;
+  already_answered answer;
+  std::list<const identity_key*>::iterator place;  ///< In the order of last use.
+};
+
+identity_key key_of(const request_descriptor& request) {
+  return {request.service, request.hash, request.identity};
+}
+
+}  // namespace
+
+struct repeat_ledger::state {
+  using table = std::unordered_map<identity_key, remembered, identity_key_hash>;
+
+  explicit state(const ledger_settings& given) : settings(given) {}
+
+  ledger_settings settings;
+  table entries;
+  std::list<const identity_key*> by_last_use;  ///< Ended entries only, oldest first.
+  std::list<const identity_key*> in_progress;
+  std::size_t answer_bytes = 0;
+  ledger_counts counts;
+
+  void expire(time_point now) {
+    while (!by_last_use.empty()) {
+      const auto found = entries.find(*by_last_use.front());
+      if (now - found->second.last_used < settings.repeat_window) return;
+      erase(found);
+    }
+  }
+
+  void erase(table::iterator entry) {
+    answer_bytes -= entry->second.answer.body.size();
+    auto& order = entry->second.running ? in_progress : by_last_use;
+    order.erase(entry->second.place);
+    entries.erase(entry);
+  }
+
+  void keep_answer(remembered& entry, already_answered answer) {
+    const std::size_t bytes = answer.body.size();
+    const bool fits =
+        bytes <= settings.answer_bytes_kept && answer_bytes + bytes <= settings.answer_bytes_total;
+    answer.body_kept = answer.body_kept && fits;
+    if (!answer.body_kept) answer.body.clear();
+    answer_bytes += answer.body.size();
+    entry.answer = std::move(answer);
+  }
+
+  [[nodiscard]] bool unknown_to_us(const request_descriptor& request, const ownership_view& owner,
+                                   time_point now) const {
+    if (settings.faults.ignore_knowledge_gap || owner.owned_since == time_point::min())
+      return false;
+    if (owner.ledger_handed_over || now - owner.owned_since >= settings.repeat_window) return false;
+    return !is_proved_first(request, owner);
+  }
+
+  [[nodiscard]] bool is_proved_first(const request_descriptor& request,
+                                     const ownership_view& owner) const {
+    if (request.declared_attempt != 1U) return false;
+    if (settings.faults.ignore_stale_route || !request.routed_fence) return true;
+    return *request.routed_fence >= owner.fence;
+  }
+
+  repeat_verdict repeat(const request_descriptor& request, const remembered& entry) {
+    if (entry.running) return refuse_repeat(refusal_reason::already_running);
+    if (entry.knowledge != run_knowledge::answered || entry.caller != request.caller)
+      return refuse_repeat(refusal_reason::repeat_unknown);
+    ++counts.repeats_answered;
+    return entry.answer;
+  }
+
+  repeat_verdict refuse_repeat(refusal_reason reason) {
+    ++counts.repeats_refused;
+    return must_not_run{outcome::may_have_run, reason};
+  }
+
+  bool make_room(time_point now) {
+    if (entries.size() < settings.capacity) return true;
+    if (!settings.faults.forget_when_full || by_last_use.empty()) return false;
+    const auto oldest = entries.find(*by_last_use.front());
+    if (now - oldest->second.last_used < settings.repeat_window) ++counts.forgotten_early;
+    erase(oldest);
+    return true;
+  }
+
+  void insert_running(const request_descriptor& request, time_point now) {
+    const auto [entry, inserted] = entries.try_emplace(key_of(request));
+    entry->second.caller = request.caller;
+    entry->second.last_used = now;
+    entry->second.place = in_progress.insert(in_progress.end(), &entry->first);
+    ++counts.runs;
+    if (entries.size() > settings.capacity) ++counts.over_capacity;
+  }
+
+  /// Inserts an entry at or after `place`, in the order of last use; returns where it stands.
+  std::list<const identity_key*>::iterator import_after(
+      std::list<const identity_key*>::iterator place, const ledger_entry& given, time_point now) {
+    const auto [entry, inserted] = entries.try_emplace({given.service, given.hash, given.identity});
+    if (!inserted) return place;
+    remembered& added = entry->second;
+    added.running = false;
+    added.caller = given.caller;
+    added.knowledge = given.knowledge;
+    added.last_used = now - std::clamp(given.age, duration{}, settings.repeat_window);
+    place = std::find_if(place, by_last_use.end(), [&](const identity_key* other) {
+      return entries.find(*other)->second.last_used > added.last_used;
+    });
+    added.place = by_last_use.insert(place, &entry->first);
+    keep_answer(added, given.answer);
+    return added.place;
+  }
+
+  void move_to_ended(remembered& entry, const identity_key& key, time_point now) {
+    in_progress.erase(entry.place);
+    entry.running = false;
+    entry.last_used = now;
+    entry.place = by_last_use.insert(by_last_use.end(), &key);
+  }
+};
+
+repeat_ledger::repeat_ledger(ledger_settings settings)
+    : state_(std::make_unique<state>(settings)) {}
+repeat_ledger::~repeat_ledger() = default;
+repeat_ledger::repeat_ledger(repeat_ledger&&) noexcept = default;
+repeat_ledger& repeat_ledger::operator=(repeat_ledger&&) noexcept = default;
+
+repeat_verdict repeat_ledger::begin(const request_descriptor& request, time_point owned_since,
+                                    time_point now) {
+  return begin(request, ownership_view{.owned_since = owned_since}, now);
+}
+
+repeat_verdict repeat_ledger::begin(const request_descriptor& request, const ownership_view& owner,
+                                    time_point now) {
+  state_->expire(now);
+  if (const auto known = state_->entries.find(key_of(request)); known != state_->entries.end())
+    return state_->repeat(request, known->second);
+  if (state_->unknown_to_us(request, owner, now))
+    return state_->refuse_repeat(refusal_reason::repeat_unknown);
+  if (!state_->make_room(now)) {
+    ++state_->counts.refused_full;
+    return must_not_run{refusal_outcome(request), refusal_reason::overloaded};
+  }
+  state_->insert_running(request, now);
+  return may_run{};
+}
+
+void repeat_ledger::ended(const request_descriptor& request, run_knowledge knowledge,
+                          already_answered answer, time_point now) {
+  const auto found = state_->entries.find(key_of(request));
+  if (found == state_->entries.end() || !found->second.running) return;
+  const bool forget =
+      knowledge == run_knowledge::did_not_run ||
+      (knowledge == run_knowledge::unknown && state_->settings.faults.forget_unknown);
+  if (forget) {
+    state_->erase(found);
+    return;
+  }
+  found->second.knowledge = knowledge;
+  state_->move_to_ended(found->second, found->first, now);
+  if (knowledge == run_knowledge::answered) state_->keep_answer(found->second, std::move(answer));
+}
+
+std::vector<ledger_entry> repeat_ledger::export_range(std::string_view service,
+                                                      const hash_range& range,
+                                                      time_point now) const {
+  std::vector<ledger_entry> exported;
+  const auto add = [&](const identity_key* key) {
+    if (key->service != service || !range.contains(key->hash)) return;
+    const remembered& entry = state_->entries.find(*key)->second;
+    exported.push_back({key->service, key->hash, key->identity, entry.caller, entry.knowledge,
+                        entry.running ? duration{} : now - entry.last_used, entry.answer});
+  };
+  std::ranges::for_each(state_->by_last_use, add);
+  std::ranges::for_each(state_->in_progress, add);
+  return exported;
+}
+
+bool repeat_ledger::import_entries(const std::vector<ledger_entry>& entries, time_point now) {
+  state_->expire(now);
+  if (state_->entries.size() + entries.size() > state_->settings.capacity) return false;
+  std::vector<const ledger_entry*> oldest_first;
+  std::ranges::transform(entries, std::back_inserter(oldest_first),
+                         [](const ledger_entry& entry) { return &entry; });
+  std::ranges::sort(oldest_first, std::ranges::greater{}, &ledger_entry::age);
+  auto place = state_->by_last_use.begin();
+  std::ranges::for_each(oldest_first, [&](const ledger_entry* given) {
+    place = state_->import_after(place, *given, now);
+  });
+  return true;
+}
+
+void repeat_ledger::drop_range(std::string_view service, const hash_range& range) {
+  for (auto entry = state_->entries.begin(); entry != state_->entries.end();) {
+    const auto next = std::next(entry);
+    if (!entry->second.running && entry->first.service == service &&
+        range.contains(entry->first.hash))
+      state_->erase(entry);
+    entry = next;
+  }
+}
+
+std::size_t repeat_ledger::size() const {
+  return state_->entries.size();
+}
+
+std::size_t repeat_ledger::answer_bytes() const {
+  return state_->answer_bytes;
+}
+
+const ledger_counts& repeat_ledger::counts() const {
+  return state_->counts;
+}
+
+}  // namespace masticshunt::requests
--- /dev/null
+++ b/tests/decisions/requests/repeat_ledger_test.cpp
@@ -0,0 +1,177 @@
+#include "masticshunt/decisions/requests/repeat_ledger.h"
+
+#include "expect.h"
+#include "request_fixture.h"
+
+using namespace masticshunt;
+using namespace masticshunt::requests;
+using namespace masticshunt::testing;
+
+namespace {
+
+constexpr time_point always_owned = time_point::min();
+
+already_answered answer(std::string body) {
+  return {201, "application/json", std::move(body), true};
+}
+
+bool may(const repeat_verdict& verdict) {
+  return std::holds_alternative<may_run>(verdict);
+}
+
+must_not_run refusal_of(const repeat_verdict& verdict) {
+  const auto* refusal = std::get_if<must_not_run>(&verdict);
+  expect_true(refusal != nullptr, "the request must be refused");
+  return *refusal;
+}
+
+struct ledger_fixture {
+  repeat_ledger ledger{{.repeat_window = seconds{60}, .capacity = 2}};
+  request_descriptor first = booking(1, "b-1");
+
+  void run_to(run_knowledge knowledge, std::string body = "done") {
+    expect_true(may(ledger.begin(first, always_owned, at({}))));
+    ledger.ended(first, knowledge, answer(std::move(body)), at({}));
+  }
+};
+
+}  // namespace
+
+Test(repeat_ledger, lets_a_new_identity_run) {
+  ledger_fixture f;
+  expect_true(may(f.ledger.begin(f.first, always_owned, at({}))));
+}
+
+Test(repeat_ledger, refuses_a_repeat_while_the_first_runs_without_claiming_it_did_not_run) {
+  ledger_fixture f;
+  f.ledger.begin(f.first, always_owned, at({}));
+  const must_not_run refusal = refusal_of(f.ledger.begin(f.first, always_owned, at({})));
+  expect_equal(refusal.what, outcome::may_have_run);
+  expect_equal(refusal.reason, refusal_reason::already_running);
+}
+
+Test(repeat_ledger, gives_the_kept_answer_to_a_repeat) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered);
+  const repeat_verdict verdict = f.ledger.begin(f.first, always_owned, at(seconds{59}));
+  expect_equal(std::get<already_answered>(verdict).body, "done");
+}
+
+Test(repeat_ledger, keeps_the_answer_from_another_caller_with_the_same_identity) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered);
+  request_descriptor other = f.first;
+  other.caller = "somebody else";
+  expect_equal(refusal_of(f.ledger.begin(other, always_owned, at({}))).what, outcome::may_have_run);
+}
+
+Test(repeat_ledger, does_not_run_again_what_ended_unknown) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::unknown);
+  expect_equal(refusal_of(f.ledger.begin(f.first, always_owned, at({}))).reason,
+               refusal_reason::repeat_unknown);
+}
+
+Test(repeat_ledger, lets_run_again_what_did_not_run) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::did_not_run);
+  expect_true(may(f.ledger.begin(f.first, always_owned, at({}))));
+}
+
+Test(repeat_ledger, ignores_a_second_end_of_the_same_run) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::unknown);
+  f.ledger.ended(f.first, run_knowledge::did_not_run, {}, at({}));
+  expect_false(may(f.ledger.begin(f.first, always_owned, at({}))));
+}
+
+Test(repeat_ledger, forgets_after_the_repeat_window) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered);
+  f.ledger.begin(booking(2, "b-2"), always_owned, at(seconds{60}));
+  expect_equal(f.ledger.size(), 1U);
+}
+
+Test(repeat_ledger, refuses_new_identities_when_full) {
+  ledger_fixture f;
+  f.ledger.begin(booking(1, "b-1"), always_owned, at({}));
+  f.ledger.begin(booking(2, "b-2"), always_owned, at({}));
+  request_descriptor third = booking(3, "b-3");
+  third.declared_attempt = 1;
+  const must_not_run refusal = refusal_of(f.ledger.begin(third, always_owned, at({})));
+  expect_equal(refusal.what, outcome::not_run);
+  expect_equal(refusal.reason, refusal_reason::overloaded);
+  expect_equal(f.ledger.size(), 2U);
+}
+
+Test(repeat_ledger, keeps_no_answer_over_its_size_bound) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered, std::string(5'000, 'x'));
+  const repeat_verdict verdict = f.ledger.begin(f.first, always_owned, at({}));
+  expect_false(std::get<already_answered>(verdict).body_kept);
+  expect_equal(f.ledger.answer_bytes(), 0U);
+}
+
+Test(repeat_ledger, refuses_a_possible_repeat_after_an_owner_change) {
+  ledger_fixture f;
+  const must_not_run refusal = refusal_of(f.ledger.begin(f.first, at({}), at(seconds{59})));
+  expect_equal(refusal.what, outcome::may_have_run);
+  expect_equal(refusal.reason, refusal_reason::repeat_unknown);
+}
+
+Test(repeat_ledger, runs_unknown_identities_once_the_window_since_the_owner_change_is_over) {
+  ledger_fixture f;
+  expect_true(may(f.ledger.begin(f.first, at({}), at(seconds{60}))));
+}
+
+Test(repeat_ledger, runs_a_declared_first_attempt_after_an_owner_change) {
+  ledger_fixture f;
+  f.first.declared_attempt = 1;
+  expect_true(may(f.ledger.begin(f.first, at({}), at(seconds{1}))));
+}
+
+Test(repeat_ledger, distrusts_a_first_attempt_that_was_routed_by_an_earlier_ownership) {
+  ledger_fixture f;
+  f.first.declared_attempt = 1;
+  f.first.routed_fence = fence_token{4, 0};
+  const ownership_view owner{.owned_since = at({}), .fence = {5, 0}};
+  expect_equal(refusal_of(f.ledger.begin(f.first, owner, at(seconds{1}))).what,
+               outcome::may_have_run);
+}
+
+Test(repeat_ledger, knows_after_a_hand_over_what_the_earlier_owner_ran) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered);
+  repeat_ledger next{{.repeat_window = seconds{60}}};
+  expect_true(next.import_entries(f.ledger.export_range(f.first.service, {0, 100}, at(seconds{1})),
+                                  at(seconds{1})));
+  const ownership_view owner{
+      .owned_since = at(seconds{1}), .fence = {}, .ledger_handed_over = true};
+  expect_true(std::holds_alternative<already_answered>(next.begin(f.first, owner, at(seconds{2}))));
+  expect_true(may(next.begin(booking(9, "b-9"), owner, at(seconds{2}))));
+}
+
+Test(repeat_ledger, exports_only_the_range_asked_for) {
+  ledger_fixture f;
+  f.run_to(run_knowledge::answered);
+  expect_true(f.ledger.export_range(f.first.service, {43, 100}, at({})).empty());
+  expect_true(f.ledger.export_range("another", {0, 100}, at({})).empty());
+}
+
+Test(repeat_ledger, takes_no_hand_over_that_does_not_fit) {
+  ledger_fixture f;
+  std::vector<ledger_entry> entries(3);
+  for (std::size_t i = 0; i < entries.size(); ++i) entries[i].identity = std::to_string(i);
+  expect_false(f.ledger.import_entries(entries, at({})));
+  expect_equal(f.ledger.size(), 0U);
+}
+
+Test(repeat_ledger, expires_imported_entries_by_their_age) {
+  ledger_fixture f;
+  ledger_entry entry;
+  entry.identity = "old";
+  entry.age = seconds{50};
+  f.ledger.import_entries({entry}, at({}));
+  f.ledger.begin(f.first, always_owned, at(seconds{10}));
+  expect_equal(f.ledger.size(), 1U);
+}
