Add the routing table and the spreading of versioned objects among agents

Cause: every agent routes, so every agent needs all assignment pages and all records, within the control budget and without watching the store. Conclusion: ready to be composed into agent_core.

--- /dev/null
+++ b/include/masticshunt/decisions/ownership/routing_table.h
@@ -0,0 +1,82 @@
+/// @file
+/// Who owns which part of every service's key space, as an agent that routes requests knows it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "masticshunt/base/identity.h"
+#include "masticshunt/decisions/ownership/types.h"
+
+namespace masticshunt::ownership {
+
+/// The answer of a lookup. `owner` points into the table: it is valid until the next `apply`.
+struct routing_entry {
+  const agent_description* owner = nullptr;  ///< Never null in an answer.
+  hash_range range;
+  fence_token token;
+  std::uint32_t group = 0;
+};
+
+/// The owners of all ranges of all services, kept page by page.
+///
+/// Each page keeps its members once and its ranges in 32 bytes each, sorted; a lookup is a binary
+/// search over the pages of the service and one over the ranges of the page, and allocates
+/// nothing. The ranges of one page must not interleave with those of another page.
+///
+/// Life cycle: construct empty; `apply` each page as it arrives, in any order.
+/// Thread safety: none; concurrent `find` calls are safe while nobody applies.
+///
+///     routing_table table;
+///     table.apply(page);
+///     if (auto entry = table.find("booking-ledger", hash_of_key("km-118.4"))) use(*entry->owner);
+class routing_table {
+ public:
+  /// Takes in `page` if its version is newer than the one held. Returns true if it was taken.
+  bool apply(const assignment_page& page);
+
+  /// Returns the owner of `hash` in `service`, or nothing if no owner is known.
+  [[nodiscard]] std::optional<routing_entry> find(std::string_view service, key_hash hash) const;
+
+  /// Returns the version held of a page; zero if there is none.
+  [[nodiscard]] std::uint64_t page_version(std::string_view service, std::uint32_t group) const;
+
+  /// Returns the number of ranges held, over all services.
+  [[nodiscard]] std::size_t range_count() const;
+
+  /// Returns the bytes of memory held for ranges, without the descriptions of agents.
+  [[nodiscard]] std::size_t range_bytes() const;
+
+ private:
+  struct compact_range {
+    key_hash first = 0;
+    fence_token token;
+    std::uint32_t owner = 0;  ///< Index into the page's members, or `nobody`.
+  };
+  struct held_page {
+    std::uint32_t group = 0;
+    std::uint64_t version = 0;
+    key_hash last = 0;  ///< The end of the page's last range.
+    std::vector<agent_description> members;
+    std::vector<compact_range> ranges;  ///< Never empty; gaps are ranges of nobody.
+  };
+  struct service_table {
+    std::vector<key_hash> firsts;  ///< The first hash of each page; searched before `pages`.
+    std::vector<held_page> pages;  ///< Sorted by their first hash.
+  };
+
+  static constexpr std::uint32_t nobody = 0xffffffff;
+
+  static held_page compact(const assignment_page& page);
+  static void sort(service_table& table);
+
+  std::map<std::string, service_table, std::less<>> services_;
+};
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/spread_exchange.cpp
@@ -0,0 +1,315 @@
+// The part of `spread` that exchanges notices, pulls, objects and digests with peers.
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "masticshunt/decisions/ownership/spread.h"
+#include "masticshunt/decisions/ownership/spread_patch.h"
+
+namespace masticshunt::ownership {
+
+namespace {
+
+constexpr std::size_t wanted_holders_max = 4;
+constexpr std::size_t pulls_in_flight_max = 256;
+constexpr std::size_t pulls_queued_max = 4'096;
+constexpr std::size_t part_bytes_max = 32'768;
+constexpr std::size_t value_bytes_max = std::size_t{2} << 20;
+constexpr std::size_t leaf_entries_max = 2'000;
+constexpr std::uint32_t tries_per_holder_max = 6;
+constexpr std::uint32_t backoff_steps_max = 4;
+constexpr duration catch_up_interval = std::chrono::seconds{1};
+
+std::size_t payload_bytes(const object_part& part) {
+  std::size_t bytes = part.bytes.size() + part.name.size();
+  for (const auto& patch : part.patches) bytes += patch.steps.size();
+  return bytes;
+}
+
+}  // namespace
+
+void spread::take(const endpoint& from, const spread_notice& what, time_point now,
+                  spread_output& out) {
+  const auto sender = neighbours_.find(from);
+  for (const auto& entry : what.entries) {
+    if (entry.version > version_of(entry.key)) want(entry.key, entry.version, from);
+    if (sender == neighbours_.end()) continue;
+    const auto pending = sender->second.pending.find(entry.key);
+    const bool knows = pending != sender->second.pending.end() && pending->second <= entry.version;
+    if (knows) sender->second.pending.erase(pending);
+  }
+  if (what.whole_leaves.empty() || tokens_ <= 0) return;
+  std::map<object_key, std::uint64_t> theirs;
+  for (const auto& entry : what.entries) theirs[entry.key] = entry.version;
+  auto newer = leaves_notice(what.whole_leaves);
+  newer.whole_leaves.clear();
+  std::erase_if(newer.entries, [&](const version_entry& entry) {
+    const auto their = theirs.find(entry.key);
+    return their != theirs.end() && their->second >= entry.version;
+  });
+  if (!newer.entries.empty()) send(from, std::move(newer), out);
+  const bool caught_up = wanted_.size() < pulls_in_flight_max;
+  if (sender != neighbours_.end() && caught_up) {
+    sender->second.next_digest = std::min(sender->second.next_digest, now + catch_up_interval);
+  }
+}
+
+void spread::take(const endpoint& from, const spread_pull& what, time_point, spread_output&) {
+  for (const auto& item : what.items) {
+    if (to_serve_.size() >= pulls_queued_max) return;
+    const auto same = [&](const queued_pull& other) {
+      return other.item.key == item.key && other.from == from;
+    };
+    const auto queued = std::ranges::find_if(to_serve_, same);
+    if (queued == to_serve_.end()) {
+      to_serve_.push_back({from, item});
+    } else {
+      queued->item = item;
+    }
+  }
+}
+
+void spread::take(const endpoint& from, const spread_objects& what, time_point now,
+                  spread_output& out) {
+  for (const auto& part : what.parts) take_part(from, part, now, out);
+}
+
+void spread::take_part(const endpoint& from, const object_part& part, time_point now,
+                       spread_output& out) {
+  const auto key = object_key_of(part.name);
+  const auto held_version = version_of(key);
+  const bool forgotten = held_version == 0 && part.version <= purged_version_;
+  if (part.version <= held_version || forgotten || part.total_bytes > value_bytes_max) return;
+  const bool is_patched = !part.patches.empty();
+  std::optional<versioned_object> object;
+  std::deque<value_patch> patches;
+  if (is_patched) {
+    object = patched(part);
+    if (!object) {
+      ++counters_.patches_refused;
+      want(key, part.version, from);
+      wanted_[key].whole = true;
+      in_flight_.erase(key);
+      wanted_[key].asked.reset();
+      to_ask_.push_front(key);
+      return;
+    }
+    patches.assign(part.patches.begin(), part.patches.end());
+  } else {
+    object = assembled(from, part, now, out);
+    if (!object) return;
+  }
+  auto adopted = *object;
+  if (!adopt(*std::move(object), std::move(patches), now)) return;
+  ++counters_.objects_adopted;
+  if (is_patched) ++counters_.patches_adopted;
+  out.adopted.push_back(std::move(adopted));
+}
+
+std::optional<versioned_object> spread::patched(const object_part& part) const {
+  const auto held = objects_.find(object_key_of(part.name));
+  if (held == objects_.end()) return std::nullopt;
+  versioned_object object = held->second.object;
+  for (const auto& patch : part.patches) {
+    auto next = apply_patch_steps(object.value, patch.steps);
+    const bool fits =
+        patch.from_version == object.version && next && object_key_of(*next) == patch.result_hash;
+    if (!fits) return std::nullopt;
+    object.value = *std::move(next);
+    object.version = patch.to_version;
+  }
+  if (object.version != part.version) return std::nullopt;
+  object.deleted = false;
+  return object;
+}
+
+std::optional<versioned_object> spread::assembled(const endpoint& from, const object_part& part,
+                                                  time_point now, spread_output& out) {
+  const bool whole = part.offset == 0 && part.bytes.size() == part.total_bytes;
+  if (whole) return versioned_object{part.name, part.version, part.bytes, part.deleted};
+  const auto key = object_key_of(part.name);
+  want(key, part.version, from);
+  auto& wanted = wanted_[key];
+  if (part.offset == 0) {
+    wanted.received.clear();
+    wanted.received_version = part.version;
+  }
+  const bool continues =
+      wanted.received_version == part.version && part.offset == wanted.received.size();
+  if (!continues) return std::nullopt;
+  wanted.received += part.bytes;
+  wanted.tries = 0;
+  if (wanted.received.size() >= part.total_bytes) {
+    return versioned_object{part.name, part.version, std::move(wanted.received), false};
+  }
+  wanted.asked = now;
+  in_flight_[key] = now + settings_.pull_timeout;
+  send(from, spread_pull{{{key, 0, wanted.received.size(), part.version}}}, out);
+  return std::nullopt;
+}
+
+void spread::want(object_key key, std::uint64_t version, const endpoint& holder) {
+  auto [place, is_new] = wanted_.try_emplace(key);
+  auto& wanted = place->second;
+  if (is_new) to_ask_.push_back(key);
+  if (version > wanted.version) {
+    wanted.version = version;
+    wanted.holders.clear();
+    wanted.tries = 0;
+  }
+  const bool known = std::ranges::count(wanted.holders, holder) != 0;
+  if (version == wanted.version && !known && wanted.holders.size() < wanted_holders_max) {
+    wanted.holders.push_back(holder);
+  }
+}
+
+void spread::ask(time_point now, spread_output& out) {
+  std::map<endpoint, spread_pull> pulls;
+  while (!to_ask_.empty() && in_flight_.size() < pulls_in_flight_max && tokens_ > 0) {
+    const auto key = to_ask_.front();
+    to_ask_.pop_front();
+    const auto place = wanted_.find(key);
+    if (place == wanted_.end() || place->second.asked) continue;
+    auto& wanted = place->second;
+    const auto& holder = wanted.holders[wanted.next_holder % wanted.holders.size()];
+    wanted.asked = now;
+    in_flight_[key] =
+        now + settings_.pull_timeout * (1 << std::min(wanted.tries, backoff_steps_max));
+    pulls[holder].items.push_back(
+        {key, wanted.whole ? 0 : version_of(key), wanted.received.size(), wanted.received_version});
+  }
+  for (auto& [holder, pull] : pulls) send(holder, std::move(pull), out);
+}
+
+void spread::expire_pulls(time_point now) {
+  for (auto flight = in_flight_.begin(); flight != in_flight_.end();) {
+    if (flight->second > now) {
+      ++flight;
+      continue;
+    }
+    const auto key = flight->first;
+    flight = in_flight_.erase(flight);
+    ++counters_.pulls_timed_out;
+    const auto place = wanted_.find(key);
+    if (place == wanted_.end()) continue;
+    auto& wanted = place->second;
+    wanted.asked.reset();
+    ++wanted.next_holder;
+    if (++wanted.tries >= tries_per_holder_max * wanted.holders.size()) {
+      wanted_.erase(place);  // The next notice or digest brings it up again.
+    } else {
+      to_ask_.push_back(key);
+    }
+  }
+}
+
+std::optional<object_part> spread::part_for(const pull_item& item) const {
+  const auto place = objects_.find(item.key);
+  if (place == objects_.end()) return std::nullopt;
+  const auto& [object, patches] = place->second;
+  if (object.version <= item.have_version) return std::nullopt;
+  object_part part{object.name, object.version, object.deleted, object.value.size(), 0, {}, {}};
+  const auto start = std::ranges::find(patches, item.have_version, &value_patch::from_version);
+  if (item.have_version != 0 && start != patches.end()) {
+    part.patches.assign(start, patches.end());
+    if (payload_bytes(part) <= part_bytes_max) return part;
+    part.patches.clear();
+  }
+  const bool goes_on = item.part_of == object.version && item.offset < object.value.size();
+  part.offset = goes_on ? item.offset : 0;
+  part.bytes = object.value.substr(part.offset, part_bytes_max);
+  return part;
+}
+
+void spread::serve(spread_output& out) {
+  std::map<endpoint, std::pair<spread_objects, std::size_t>> answers;
+  double reserved = 0;
+  const auto flush = [&](const endpoint& to, auto& answer) {
+    send(to, std::move(answer.first), out);
+    answer = {};
+  };
+  while (!to_serve_.empty() && tokens_ - reserved > 0) {
+    const auto request = std::move(to_serve_.front());
+    to_serve_.pop_front();
+    auto part = part_for(request.item);
+    if (!part) continue;
+    auto& answer = answers[request.from];
+    const auto bytes = payload_bytes(*part);
+    if (answer.second != 0 && answer.second + bytes > part_bytes_max) flush(request.from, answer);
+    answer.second += bytes;
+    reserved += static_cast<double>(bytes);
+    answer.first.parts.push_back(*std::move(part));
+  }
+  for (auto& [to, answer] : answers) {
+    if (!answer.first.parts.empty()) flush(to, answer);
+  }
+}
+
+std::uint64_t spread::digest_at(std::uint32_t depth, std::uint32_t index) const {
+  if (depth == 0) return root_hash_;
+  if (depth == 2) return index < leaf_count ? leaf_hashes_[index] : 0;
+  if (index >= tree_fan) return 0;
+  std::uint64_t hash = 0;
+  for (std::uint32_t leaf = 0; leaf < tree_fan; ++leaf)
+    hash ^= leaf_hashes_[index * tree_fan + leaf];
+  return hash;
+}
+
+std::vector<digest_node> spread::digest_below(std::uint32_t depth,
+                                              const std::vector<std::uint32_t>& parents) const {
+  std::vector<digest_node> nodes;
+  for (const auto parent : parents) {
+    for (std::uint32_t child = 0; child < tree_fan; ++child) {
+      const auto index = parent * tree_fan + child;
+      nodes.push_back({index, digest_at(depth + 1, index)});
+    }
+  }
+  return nodes;
+}
+
+spread_notice spread::leaves_notice(std::vector<std::uint32_t> leaves) {
+  spread_notice notice;
+  if (leaves.empty()) return notice;
+  constexpr std::uint64_t leaf_width = ~std::uint64_t{0} / leaf_count + 1;
+  std::ranges::rotate(leaves, leaves.begin() + static_cast<std::ptrdiff_t>(draw() % leaves.size()));
+  for (const auto leaf : leaves) {
+    if (leaf >= leaf_count || notice.entries.size() >= leaf_entries_max) break;
+    const auto first = objects_.lower_bound(leaf * leaf_width);
+    const auto last =
+        leaf + 1 == leaf_count ? objects_.end() : objects_.lower_bound((leaf + 1) * leaf_width);
+    for (const auto& [key, held] : std::ranges::subrange(first, last)) {
+      notice.entries.push_back({key, held.object.version});
+    }
+    notice.whole_leaves.push_back(leaf);
+  }
+  return notice;
+}
+
+void spread::take(const endpoint& from, const spread_digest& what, time_point, spread_output& out) {
+  constexpr std::uint32_t leaf_depth = 2;
+  const bool busy = tokens_ <= 0 || !to_serve_.empty() || wanted_.size() >= pulls_in_flight_max;
+  if (what.in_sync || what.depth > leaf_depth || busy) return;
+  std::vector<std::uint32_t> different;
+  for (const auto& node : what.nodes) {
+    if (digest_at(what.depth, node.index) != node.hash) different.push_back(node.index);
+  }
+  if (different.empty()) {
+    if (what.depth == 0) send(from, spread_digest{0, {}, true}, out);
+    return;
+  }
+  if (what.depth == leaf_depth) {
+    send(from, leaves_notice(std::move(different)), out);
+  } else {
+    send(from, spread_digest{what.depth + 1, digest_below(what.depth, different), false}, out);
+  }
+}
+
+void spread::send_digests(time_point now, spread_output& out) {
+  for (auto& [peer, state] : neighbours_) {
+    if (!state.chosen || state.next_digest > now || tokens_ <= 0) continue;
+    state.next_digest = now + settings_.digest_interval;
+    send(peer, spread_digest{0, {{0, root_hash_}}, false}, out);
+  }
+}
+
+}  // namespace masticshunt::ownership
