--- /dev/null
+++ b/src/agent/internal/session.h
@@ -0,0 +1,96 @@
+/// @file
+/// One connection of a caller or of a forwarding agent.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "agent/internal/connection_pool.h"
+#include "agent/internal/http_exchange.h"
+#include "agent/internal/shared_tables.h"
+#include "masticshunt/caller/refusal.h"
+#include "masticshunt/caller/request_rules.h"
+
+namespace masticshunt::agent {
+
+/// Limits of sessions.
+struct session_settings {
+  std::uint32_t header_bytes_max = 16 * 1024;
+  std::size_t body_held_max = 64 * 1024;  ///< Bodies up to this size can be sent again.
+  std::size_t answer_bytes_kept = 4 * 1024;
+  duration idle_age_max = std::chrono::seconds{60};
+  duration header_timeout = std::chrono::seconds{10};
+};
+
+/// One worker: a thread's event loop with what only that thread uses.
+struct worker {
+  worker(connection_pool_settings pool_settings, std::uint64_t seed)
+      : context(1), pool(context, pool_settings), random(seed) {}
+
+  boost::asio::io_context context;
+  connection_pool pool;
+  std::mt19937_64 random;
+  std::atomic<std::size_t> sessions{0};
+  std::atomic<std::size_t> busy_sessions{0};  ///< Sessions with a request in flight.
+};
+
+/// Serves the requests of one connection, one after the other.
+///
+/// Life cycle: `run` is spawned on the worker; the session ends itself.
+/// Thread safety: none; it lives on its worker's thread.
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(worker& on, shared_tables& tables, const session_settings& settings,
+          boost::asio::ip::tcp::socket socket, caller::arrival from);
+
+  /// Serves until the connection ends. `stopping` is asked between requests.
+  boost::asio::awaitable<void> run(const std::atomic<bool>& stopping);
+
+ private:
+  struct current_request;
+  /// How one attempt ended: what the caller is to be told unless the answer was passed on.
+  struct attempt_end {
+    bool answer_passed = false;  ///< The answer, or a part of it, went to the caller.
+    bool connection_lost = false;
+    bool never_sent_again = false;  ///< The attempt's fate forbids another.
+    caller::refusal why;
+  };
+
+  boost::asio::awaitable<bool> serve(request_parser& parser);
+  boost::asio::awaitable<bool> read_prefix(caller_side& side);
+  boost::asio::awaitable<bool> try_until_answered(current_request& current, caller_side& side);
+  boost::asio::awaitable<attempt_end> attempt(current_request& current, caller_side& side);
+  boost::asio::awaitable<attempt_end> attempt_here(current_request& current, caller_side& side);
+  boost::asio::awaitable<attempt_end> run_permitted(current_request& current, caller_side& side,
+                                                    const local_permit& permit);
+  boost::asio::awaitable<attempt_end> attempt_at(current_request& current, caller_side& side,
+                                                 const ownership::agent_description& owner);
+  boost::asio::awaitable<attempt_end> replay(current_request& current, caller_side& side,
+                                             requests::already_answered kept);
+  boost::asio::awaitable<bool> refuse(const caller::refusal& why, const std::string& request_id,
+                                      bool keep_alive);
+  std::optional<caller::refusal> check(current_request& current, request_parser& parser);
+  exchange_plan plan_for_upstream(const current_request& current, const caller_side& side,
+                                  const local_permit& permit) const;
+  exchange_plan plan_for_agent(const current_request& current, const caller_side& side,
+                               const ownership::agent_description& owner) const;
+  attempt_end judge(const current_request& current, const exchange_end& end);
+  endpoint owner_hint(const current_request& current) const;
+  std::string new_request_id();
+  void count(requests::outcome what);
+
+  worker& worker_;
+  shared_tables& tables_;
+  const session_settings& settings_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  caller::arrival from_;
+  std::string peer_address_;
+};
+
+}  // namespace masticshunt::agent
--- /dev/null
+++ b/src/agent/internal/shared_tables.cpp
@@ -0,0 +1,302 @@
+#include "agent/internal/shared_tables.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/support/clock.h"
+
+namespace masticshunt::agent {
+
+namespace asio = boost::asio;
+using requests::refusal_reason;
+
+namespace {
+
+requests::attempt_id attempt_of(const requests::gate_action& step) {
+  return std::visit([](const auto& each) { return each.attempt; }, step);
+}
+
+/// Hands a gate's verdict to the session that waits for it, on the session's own executor.
+void deliver(const std::shared_ptr<gate_waiter>& waiter, const requests::gate_action& step) {
+  asio::post(waiter->executor, [waiter, step] {
+    if (std::holds_alternative<requests::cancel_attempt>(step) && waiter->cancel) {
+      waiter->cancel();
+    }
+    waiter->verdict = step;
+    waiter->wake.cancel();
+  });
+}
+
+}  // namespace
+
+shared_tables::shared_tables(ownership::core_settings core, requests::retry_settings retry,
+                             event_sink sink)
+    : sink_(std::move(sink)),
+      core_(std::move(core)),
+      gate_(requests::gate_settings{{{"default", 0, 1, std::chrono::seconds{1}}}, 1, 1}),
+      ledger_(requests::ledger_settings{}),
+      retry_(retry) {}
+
+ownership::actions shared_tables::handle(const ownership::event& what, time_point now) {
+  const std::scoped_lock guard(core_lock_);
+  return core_.handle(what, now);
+}
+
+std::optional<ownership::route_answer> shared_tables::route(std::string_view service,
+                                                            key_hash hash) const {
+  const std::scoped_lock guard(core_lock_);
+  return core_.route(service, hash);
+}
+
+bool shared_tables::accepts_callers() const {
+  const std::scoped_lock guard(core_lock_);
+  return core_.accepts_callers();
+}
+
+asio::awaitable<local_verdict> shared_tables::admit(requests::request_descriptor request,
+                                                    std::shared_ptr<const service_view> service,
+                                                    asio::any_io_executor executor) {
+  request.attempt = next_attempt_++;
+  std::optional<ownership::admission_ticket> ticket;
+  {
+    const std::scoped_lock guard(core_lock_);
+    ticket = core_.admit(service->record.name, request.hash, boot_now());
+  }
+  if (!ticket) {
+    co_return local_refusal{requests::outcome::not_run, refusal_reason::not_owner, {}};
+  }
+  auto waiter = std::make_shared<gate_waiter>(executor);
+  requests::gate_actions steps;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    if (!request.idempotent) {
+      const auto verdict = ledger_.begin(request, ticket->owned_since, boot_now());
+      if (const auto* answered = std::get_if<requests::already_answered>(&verdict)) {
+        co_return *answered;
+      }
+      if (const auto* refused = std::get_if<requests::must_not_run>(&verdict)) {
+        co_return local_refusal{refused->what, refused->reason, {}};
+      }
+    }
+    waiters_[request.attempt] = waiter;
+    steps = gate_.offer(request, boot_now());
+    const auto own = std::ranges::find(steps, request.attempt, attempt_of);
+    if (own != steps.end()) waiter->verdict = *own;
+  }
+  perform(steps);
+  while (!waiter->verdict) {
+    waiter->wake.expires_at(asio::steady_timer::time_point::max());
+    co_await waiter->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (const auto* refused = std::get_if<requests::refuse_attempt>(&*waiter->verdict)) {
+    give_up(request);
+    co_return local_refusal{requests::outcome::not_run, refused->reason, refused->retry_after};
+  }
+  if (std::holds_alternative<requests::cancel_attempt>(*waiter->verdict)) {
+    leave_gate(request);
+    co_return local_refusal{requests::outcome::not_run, refusal_reason::deadline_passed, {}};
+  }
+  std::optional<ownership::admission_ticket> renewed;
+  if (!enter_range(request, *ticket, renewed)) {
+    leave_gate(request);
+    co_return local_refusal{requests::outcome::not_run, refusal_reason::not_owner, {}};
+  }
+  co_return make_permit(request, *renewed, waiter);
+}
+
+void shared_tables::leave_gate(const requests::request_descriptor& request) {
+  give_up(request);
+  requests::gate_actions steps;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    steps = gate_.finished(request.attempt, requests::attempt_result::cancelled, boot_now());
+  }
+  perform(steps);
+}
+
+local_permit shared_tables::make_permit(const requests::request_descriptor& request,
+                                        const ownership::admission_ticket& ticket,
+                                        std::shared_ptr<gate_waiter> waiter) const {
+  const std::scoped_lock guard(gate_lock_);
+  local_permit permit{request, ticket, upstream_.value_or(ownership::upstream_description{}),
+                      request.deadline, std::move(waiter)};
+  if (!permit.upstream.checks_fences) {
+    permit.deadline = std::min(permit.deadline, ticket.lease_end);
+  }
+  return permit;
+}
+
+bool shared_tables::enter_range(const requests::request_descriptor& request,
+                                const ownership::admission_ticket& ticket,
+                                std::optional<ownership::admission_ticket>& renewed) {
+  const std::scoped_lock core_guard(core_lock_);
+  renewed = core_.admit(request.service, request.hash, boot_now());
+  if (!renewed || renewed->token != ticket.token || renewed->owned_since != ticket.owned_since) {
+    return false;
+  }
+  const std::scoped_lock gate_guard(gate_lock_);
+  const auto found = std::ranges::find(running_ranges_, renewed->range,
+                                       &std::pair<hash_range, std::size_t>::first);
+  if (found == running_ranges_.end()) {
+    running_ranges_.emplace_back(renewed->range, 1);
+  } else {
+    ++found->second;
+  }
+  return true;
+}
+
+void shared_tables::leave_range(const hash_range& range) {
+  const auto found =
+      std::ranges::find(running_ranges_, range, &std::pair<hash_range, std::size_t>::first);
+  if (found == running_ranges_.end()) return;
+  if (--found->second > 0) return;
+  running_ranges_.erase(found);
+  if (std::erase(finishing_, range) > 0) sink_(ownership::range_quiet{range});
+}
+
+void shared_tables::finish_range(const hash_range& range) {
+  bool quiet = false;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    quiet = std::ranges::find(running_ranges_, range, &std::pair<hash_range, std::size_t>::first) ==
+            running_ranges_.end();
+    if (!quiet) finishing_.push_back(range);
+  }
+  if (quiet) sink_(ownership::range_quiet{range});
+}
+
+void shared_tables::give_up(const requests::request_descriptor& request) {
+  const std::scoped_lock guard(gate_lock_);
+  waiters_.erase(request.attempt);
+  if (!request.idempotent) {
+    ledger_.ended(request, requests::run_knowledge::did_not_run, {}, boot_now());
+  }
+}
+
+void shared_tables::finish(const local_permit& permit, requests::attempt_result result,
+                           requests::run_knowledge knowledge, requests::already_answered answer) {
+  requests::gate_actions steps;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    waiters_.erase(permit.request.attempt);
+    if (!permit.request.idempotent) {
+      ledger_.ended(permit.request, knowledge, std::move(answer), boot_now());
+    }
+    leave_range(permit.ticket.range);
+    steps = gate_.finished(permit.request.attempt, result, boot_now());
+  }
+  perform(steps);
+}
+
+bool shared_tables::still_owned(const local_permit& permit) {
+  const std::scoped_lock guard(core_lock_);
+  const auto ticket = core_.admit(permit.request.service, permit.request.hash, boot_now());
+  return ticket && ticket->token == permit.ticket.token;
+}
+
+void shared_tables::perform(const requests::gate_actions& steps) {
+  std::vector<std::pair<std::shared_ptr<gate_waiter>, requests::gate_action>> deliveries;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    for (const auto& step : steps) {
+      const auto found = waiters_.find(attempt_of(step));
+      if (found != waiters_.end()) deliveries.emplace_back(found->second, step);
+    }
+  }
+  for (const auto& [waiter, step] : deliveries) deliver(waiter, step);
+}
+
+requests::gate_settings shared_tables::gate_settings_of(
+    const ownership::upstream_description& upstream) const {
+  requests::gate_settings settings;
+  settings.slots = upstream.slots;
+  const auto service = catalog_.find(upstream.service);
+  settings.ranks = to_rank_policies(service ? *service : service_view{});
+  return settings;
+}
+
+void shared_tables::record_in_force(const ownership::store_object& object) {
+  catalog_.apply(object);
+  std::optional<ownership::upstream_description> upstream;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    upstream = upstream_;
+  }
+  if (upstream) upstream_announced(*upstream);
+}
+
+void shared_tables::upstream_announced(const ownership::upstream_description& upstream) {
+  const auto settings = gate_settings_of(upstream);
+  const std::scoped_lock guard(gate_lock_);
+  upstream_ = upstream;
+  gate_.reconfigure(settings, boot_now());
+}
+
+void shared_tables::upstream_refused(const ownership::upstream_description& upstream) {
+  {
+    const std::scoped_lock guard(gate_lock_);
+    if (!upstream_ || *upstream_ != upstream) return;
+    upstream_.reset();
+  }
+  sink_(ownership::upstream_lost{"it refuses connections"});
+}
+
+bool shared_tables::has_upstream() const {
+  const std::scoped_lock guard(gate_lock_);
+  return upstream_.has_value();
+}
+
+void shared_tables::tick(time_point now) {
+  requests::gate_actions steps;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    if (gate_.waiting() == 0 && gate_.running() == 0) return;
+    steps = gate_.tick(now);
+  }
+  perform(steps);
+}
+
+void shared_tables::first_attempt() {
+  const std::scoped_lock guard(retry_lock_);
+  retry_.first_attempt();
+}
+
+std::optional<duration> shared_tables::retry_delay(const requests::request_descriptor& request,
+                                                   const requests::failed_attempt& last,
+                                                   double jitter, time_point now) {
+  const std::scoped_lock guard(retry_lock_);
+  return retry_.next_delay(request, last, jitter, now);
+}
+
+std::size_t shared_tables::running() const {
+  const std::scoped_lock guard(gate_lock_);
+  return gate_.running();
+}
+
+std::string shared_tables::dump(time_point now) const {
+  const auto parsed = [](const std::string& text) {
+    return nlohmann::json::parse(text, nullptr, false);
+  };
+  nlohmann::json state;
+  {
+    const std::scoped_lock guard(core_lock_);
+    state["ownership"] = parsed(core_.dump(now));
+  }
+  {
+    const std::scoped_lock guard(gate_lock_);
+    state["gate"] = parsed(gate_.dump(now));
+    state["repeat_ledger"]["identities"] = ledger_.size();
+  }
+  state["requests"] = {{"served", counts.served.load()},
+                       {"not_run", counts.not_run.load()},
+                       {"may_have_run", counts.may_have_run.load()},
+                       {"failed", counts.failed.load()},
+                       {"forwarded", counts.forwarded.load()},
+                       {"retries", counts.retries.load()}};
+  return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace masticshunt::agent
