--- /dev/null
+++ b/include/masticshunt/decisions/ownership/coordinator.h
@@ -0,0 +1,136 @@
+/// @file
+/// What the coordinator of a group decides: members, renewers, and changes of owners.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "masticshunt/decisions/ownership/renewer.h"
+#include "masticshunt/decisions/ownership/step.h"
+
+namespace masticshunt::ownership {
+
+/// What operators want of a group.
+struct group_intent {
+  bool move_when_isolated = false;  ///< The service's isolation policy is `move`.
+  /// Returns true if an agent is to be taken out of service.
+  std::function<bool(const agent_description&)> drained;
+};
+
+/// Collects evidence about a group and decides the next page from it.
+///
+/// Every renewer of a group keeps one, so that a standby that takes over has the evidence at hand;
+/// only the coordinator that the page names acts on it. An owner is replaced only when it is known
+/// to have stopped: by its own word, by its new incarnation or an operator's word and the end of
+/// the longest lease, or when every renewer that could have renewed it has stopped and its last
+/// grant has ended.
+/// Thread safety: none.
+class coordinator {
+ public:
+  coordinator(agent_description self, lease_timing timing, fault_injection faults,
+              time_point began);
+
+  /// Notes what a newer page proves.
+  void page_adopted(const assignment_page& page, const renewer& rights, time_point now);
+  /// Notes that an agent wants to be a member.
+  void handle(const join_request& request, time_point now);
+  /// Notes what an owner reported with its renewal.
+  void handle(const renew_request& request, const assignment_page& page, time_point now);
+  /// Notes what a renewer said about withdrawn renewers.
+  void handle(const page_ack& ack, time_point now);
+  /// Notes that a renewer has stopped renewing an owner.
+  void handle(const stop_reply& reply, const assignment_page& page, time_point now);
+  /// An agent up to an incarnation is known to have ended: its process is gone.
+  void note_ended(const std::string& name, std::uint64_t last_incarnation, time_point now);
+  /// This process was paused: silences of others prove nothing.
+  void forgive_silence(time_point now);
+  /// Says that this agent itself wants to leave.
+  void set_leaving(bool leaving) { self_leaving_ = leaving; }
+
+  /// Sends the demands that are due: stop renewing, release.
+  void tick(const assignment_page& page, const renewer& rights, const group_intent& intent,
+            step& step);
+  /// Returns the page that should follow `page`, or nothing if it is right as it is.
+  [[nodiscard]] std::optional<assignment_page> next_page(const assignment_page& page,
+                                                         const renewer& rights,
+                                                         const group_intent& intent,
+                                                         time_point now) const;
+  /// Returns the page with which a standby takes the tenure, or nothing if it should not.
+  [[nodiscard]] std::optional<assignment_page> takeover_page(const assignment_page& page,
+                                                             const renewer& rights,
+                                                             time_point now) const;
+  /// Returns true if the right of a withdrawn renewer, and all it granted, is known to have ended.
+  [[nodiscard]] bool renewer_ended(const assignment_page& page, const renewer_record& record,
+                                   const renewer& rights, time_point now) const;
+  /// Returns true if `owner` is known to hold no lease any more and can't get one.
+  [[nodiscard]] bool owner_ended(const assignment_page& page, const agent_id& owner,
+                                 const renewer& rights, time_point now) const;
+
+ private:
+  struct owner_change {
+    std::uint64_t number = 0;
+    std::uint64_t up_to = 0;
+    std::map<std::uint64_t, time_point> words;  ///< By appointment: when its grants end.
+    time_point next_send{};
+  };
+  struct member_report {
+    time_point heard;
+    std::uint64_t config_revision = 0;
+    std::uint32_t schema_version_max = 1;
+    bool leaving = false;
+  };
+  [[nodiscard]] std::optional<time_point> ended_since(const agent_id& id) const;
+  [[nodiscard]] bool evidence_ended(const agent_id& id, time_point now) const;
+  [[nodiscard]] time_point last_heard(const agent_id& id) const;
+  [[nodiscard]] bool silent(const agent_id& owner, time_point now) const;
+  [[nodiscard]] bool suspect(const agent_id& owner, time_point now) const;
+  [[nodiscard]] bool alive(const agent_id& id, time_point now) const;
+  [[nodiscard]] bool eligible(const agent_description& member, const group_intent& intent,
+                              time_point now) const;
+  [[nodiscard]] std::optional<time_point> withdrawn_right_end(const assignment_page& page,
+                                                              const renewer_record& record,
+                                                              const renewer& rights) const;
+  [[nodiscard]] bool withdrawal_known(const assignment_page& page,
+                                      const renewer_record& record) const;
+  void demand_stops(const assignment_page& page, const renewer& rights, step& step);
+  void demand_releases(const assignment_page& page, const group_intent& intent, step& step);
+  [[nodiscard]] std::map<std::string, double> quotas(const assignment_page& page,
+                                                     const group_intent& intent,
+                                                     time_point now) const;
+  bool update_members(assignment_page& next, time_point now) const;
+  bool update_renewers(assignment_page& next, const assignment_page& page, const renewer& rights,
+                       time_point now) const;
+  bool appoint(assignment_page& next, time_point now) const;
+  bool hand_over_tenure(assignment_page& next, time_point now) const;
+  bool assign_ranges(assignment_page& next, const assignment_page& page, const renewer& rights,
+                     const group_intent& intent, time_point now) const;
+
+  agent_description self_;
+  lease_timing timing_;
+  fault_injection faults_;
+  clock_bounds bounds_;
+  time_point began_;
+  bool self_leaving_ = false;
+  std::map<std::string, agent_description> joins_;
+  std::map<std::string, std::pair<std::uint64_t, time_point>> ended_;  ///< Last ended incarnation.
+  std::map<agent_id, member_report> reports_;
+  std::map<agent_id, owner_change> changes_;
+  std::map<agent_id, time_point> hold_off_;  ///< Suspect no earlier: others hear the owner.
+  std::set<fence_token> released_;
+  std::map<std::uint64_t, time_point> withdrawn_seen_;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, time_point> support_words_;
+  std::map<std::uint64_t, time_point> own_words_;
+  std::uint64_t next_number_ = 1;
+  time_point next_release_{};
+  time_point members_changed_{};
+  bool has_tenure_ = false;
+  time_point tenure_since_;         ///< Silences are counted from here at the earliest.
+  std::uint64_t last_first_ = 0;    ///< Appointment of the coordinator of the page before.
+};
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/include/masticshunt/decisions/ownership/page.h
@@ -0,0 +1,58 @@
+/// @file
+/// Assignment pages: their stored form and questions about their content.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "masticshunt/base/failure.h"
+#include "masticshunt/decisions/ownership/agent_core.h"
+#include "masticshunt/decisions/ownership/messages.h"
+#include "masticshunt/decisions/ownership/types.h"
+
+namespace masticshunt::ownership {
+
+/// Returns the group of a page.
+group_name name_of(const assignment_page& page);
+
+/// Returns the store name of a group's page: "groups/<service>/<group>".
+std::string page_object_name(const group_name& group);
+
+/// Returns the stored form of `page` (JSON).
+std::string to_value(const assignment_page& page);
+
+/// Returns the page in a stored object, or nothing with `reason` filled. The page's version is the
+/// object's.
+std::optional<assignment_page> page_from_object(const store_object& object, failure& reason);
+
+/// Returns `count` even ranges that cover the part of the key space of group `group` of `groups`.
+std::vector<range_assignment> even_ranges(std::uint32_t group, std::uint32_t groups,
+                                          std::uint32_t count);
+
+/// Returns the group that an agent joins of a service with `groups` groups.
+std::uint32_t group_of_agent(std::string_view agent_name, std::uint32_t groups);
+
+/// Returns the renewer record of `id`, or null.
+const renewer_record* find_renewer(const assignment_page& page, const agent_id& id);
+
+/// Returns the renewer record with an appointment, or null.
+const renewer_record* find_appointment(const assignment_page& page, std::uint64_t appointment);
+
+/// Returns the member called `name`, or null.
+const agent_description* find_member(const assignment_page& page, std::string_view name);
+
+/// Returns the range that holds `hash`, or null.
+const range_assignment* find_range(const assignment_page& page, key_hash hash);
+
+/// Returns true if `id` is the coordinator that `page` names.
+bool is_coordinator(const assignment_page& page, const agent_id& id);
+
+/// Returns true if `id` owns a range of `page`.
+bool owns_any(const assignment_page& page, const agent_id& id);
+
+/// Returns true if the ranges are sorted, do not overlap, and have no gaps between them.
+bool ranges_are_contiguous(const assignment_page& page);
+
+}  // namespace masticshunt::ownership
--- a/include/masticshunt/decisions/ownership/types.h
+++ b/include/masticshunt/decisions/ownership/types.h
@@ -44,6 +44,7 @@
   hash_range range;
   agent_id owner;
   fence_token token;
+  bool had_earlier_owner = false;  ///< Another owner may have run requests of the range.
 
   bool operator==(const range_assignment&) const = default;
 };
@@ -55,6 +56,7 @@
   std::string failure_domain;
   bool withdrawn =
       false;  ///< Support is withdrawn; it is replaced once its grants are known ended.
+  std::uint64_t appointment = 0;  ///< The page's sequence when it was named; unique in the page.
 
   bool operator==(const renewer_record&) const = default;
 };
@@ -69,6 +71,11 @@
   std::vector<renewer_record> renewers;
   std::vector<agent_description> members;  ///< Agents whose upstreams may own ranges of the group.
   std::vector<range_assignment> ranges;    ///< Sorted by first; together they cover the group.
+  std::uint64_t sequence = 0;              ///< Raised by one with every write of the page.
+  std::uint64_t owner_changes = 0;         ///< Numbers the tokens; each range's is unique.
+  std::uint64_t move_since = 0;  ///< Sequence at which isolation became `move`; zero for `stay`.
+  std::uint32_t schema_floor = 1;     ///< The newest record schema that all members can read.
+  std::string write_id;               ///< Names the write, so that a lost answer is recognised.
 
   bool operator==(const assignment_page&) const = default;
 };
@@ -77,8 +84,12 @@
 struct lease_timing {
   duration lease = std::chrono::milliseconds{2000};
   duration renewal_interval = std::chrono::milliseconds{500};
-  duration support = std::chrono::milliseconds{1500};  ///< How long one support lasts.
+  duration support = std::chrono::milliseconds{2000};  ///< How long a support by a peer lasts.
+  duration store_support = std::chrono::milliseconds{1200};  ///< How long one by the store lasts.
   duration support_interval = std::chrono::milliseconds{400};
+  duration owner_silence = std::chrono::milliseconds{1400};    ///< Then an owner is suspected.
+  duration renewer_silence = std::chrono::milliseconds{1200};  ///< Then a renewer is replaced.
+  duration tick = std::chrono::milliseconds{50};               ///< Between two `timer_fired`.
   duration pause_limit =
       std::chrono::milliseconds{400};               ///< A longer gap between ticks is a pause.
   duration margin = std::chrono::milliseconds{50};  ///< Taken off the end of every lease.
--- /dev/null
+++ b/src/decisions/ownership/coordinator.cpp
@@ -0,0 +1,482 @@
+#include "masticshunt/decisions/ownership/coordinator.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include "masticshunt/decisions/ownership/page.h"
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr std::size_t renewers_wanted = 3;
+constexpr std::size_t renewers_most = 6;
+constexpr duration demand_interval = std::chrono::milliseconds{200};
+constexpr duration hold_off_time = std::chrono::milliseconds{1000};
+constexpr duration release_interval = std::chrono::milliseconds{500};
+constexpr duration settle_time = std::chrono::milliseconds{300};
+constexpr duration forget_member_after = std::chrono::seconds{10};
+
+}  // namespace
+
+coordinator::coordinator(agent_description self, lease_timing timing, fault_injection faults,
+                         time_point began)
+    : self_(std::move(self)),
+      timing_(timing),
+      faults_(faults),
+      bounds_(timing, faults),
+      began_(began),
+      members_changed_(began),
+      tenure_since_(began) {
+  if (self_.id.incarnation > 0) note_ended(self_.id.name, self_.id.incarnation - 1, began);
+}
+
+void coordinator::note_ended(const std::string& name, std::uint64_t last_incarnation,
+                             time_point now) {
+  const auto [place, is_new] = ended_.try_emplace(name, last_incarnation, now);
+  if (is_new || place->second.first >= last_incarnation) return;
+  place->second = {last_incarnation, now};
+}
+
+std::optional<time_point> coordinator::ended_since(const agent_id& id) const {
+  const auto found = ended_.find(id.name);
+  if (found == ended_.end() || found->second.first < id.incarnation) return std::nullopt;
+  return found->second.second;
+}
+
+bool coordinator::evidence_ended(const agent_id& id, time_point now) const {
+  const auto since = ended_since(id);
+  return since && now >= *since + bounds_.for_giver(timing_.lease);
+}
+
+void coordinator::page_adopted(const assignment_page& page, const renewer& rights,
+                               time_point now) {
+  for (const auto& member : page.members) {
+    if (member.id.incarnation > 0) note_ended(member.id.name, member.id.incarnation - 1, now);
+  }
+  for (const auto& record : page.renewers) {
+    if (record.withdrawn) withdrawn_seen_.try_emplace(record.appointment, now);
+  }
+  const auto unnamed = [&](std::uint64_t appointment) {
+    return find_appointment(page, appointment) == nullptr;
+  };
+  std::erase_if(withdrawn_seen_, [&](const auto& entry) { return unnamed(entry.first); });
+  std::erase_if(own_words_, [&](const auto& entry) { return unnamed(entry.first); });
+  std::erase_if(support_words_, [&](const auto& entry) { return unnamed(entry.first.first); });
+  std::erase_if(changes_, [&](const auto& entry) { return !owns_any(page, entry.first); });
+  std::erase_if(released_, [&](const fence_token& token) {
+    return std::ranges::find(page.ranges, token, &range_assignment::token) == page.ranges.end();
+  });
+  const bool has_tenure = is_coordinator(page, self_.id);
+  if (has_tenure && !has_tenure_) {
+    const time_point heard = last_first_ == 0 ? now : rights.heard_renewer(last_first_);
+    tenure_since_ = std::max(began_, std::max(heard, now - timing_.renewer_silence));
+  }
+  has_tenure_ = has_tenure;
+  last_first_ = page.renewers.empty() ? 0 : page.renewers.front().appointment;
+}
+
+void coordinator::handle(const join_request& request, time_point now) {
+  const auto& id = request.agent.id;
+  if (id.incarnation > 0) note_ended(id.name, id.incarnation - 1, now);
+  if (ended_since(id)) return;
+  auto& join = joins_[id.name];
+  if (join.id != id) members_changed_ = now;
+  join = request.agent;
+  auto& report = reports_[id];
+  report.heard = now;
+  report.schema_version_max = request.agent.schema_version_max;
+  report.leaving = false;
+}
+
+void coordinator::handle(const renew_request& request, const assignment_page& page,
+                         time_point now) {
+  const auto& id = request.owner;
+  if (id.incarnation > 0) note_ended(id.name, id.incarnation - 1, now);
+  if (ended_since(id)) return;
+  auto& report = reports_[id];
+  report = {now, request.config_revision, request.schema_version_max, request.leaving};
+  for (const auto& token : request.released) {
+    const auto range = std::ranges::find(page.ranges, token, &range_assignment::token);
+    if (range != page.ranges.end() && range->owner == id) released_.insert(token);
+  }
+}
+
+void coordinator::handle(const page_ack& ack, time_point now) {
+  for (const auto& word : ack.supports) {
+    support_words_[{word.appointment, ack.appointment}] = now + bounds_.for_giver(word.ends_in);
+  }
+  if (ack.own_grants_end_in) {
+    own_words_[ack.appointment] = now + bounds_.for_giver(*ack.own_grants_end_in);
+  }
+}
+
+void coordinator::handle(const stop_reply& reply, const assignment_page& page, time_point now) {
+  const auto found = changes_.find(reply.owner);
+  if (found == changes_.end() || reply.epoch != page.epoch) return;
+  if (reply.number != found->second.number) return;
+  found->second.words[reply.appointment] = now + bounds_.for_giver(reply.ends_in);
+  const bool heard_there = reply.heard_ago && *reply.heard_ago < timing_.owner_silence / 2;
+  if (heard_there && !ended_since(reply.owner)) hold_off_[reply.owner] = now + hold_off_time;
+}
+
+void coordinator::forgive_silence(time_point now) {
+  tenure_since_ = now;
+  for (auto& report : reports_ | std::views::values) report.heard = std::max(report.heard, now);
+}
+
+time_point coordinator::last_heard(const agent_id& id) const {
+  const auto found = reports_.find(id);
+  return found == reports_.end() ? tenure_since_ : std::max(found->second.heard, tenure_since_);
+}
+
+bool coordinator::silent(const agent_id& owner, time_point now) const {
+  return now - last_heard(owner) > timing_.owner_silence;
+}
+
+bool coordinator::suspect(const agent_id& owner, time_point now) const {
+  if (owner.name.empty() || owner == self_.id) return false;
+  if (ended_since(owner)) return true;
+  const auto held_off = hold_off_.find(owner);
+  if (held_off != hold_off_.end() && now < held_off->second) return false;
+  return silent(owner, now);
+}
+
+bool coordinator::alive(const agent_id& id, time_point now) const {
+  if (id == self_.id) return true;
+  return !ended_since(id) && reports_.contains(id) && !silent(id, now);
+}
+
+bool coordinator::eligible(const agent_description& member, const group_intent& intent,
+                           time_point now) const {
+  if (!member.upstream || !alive(member.id, now)) return false;
+  if (member.id == self_.id && self_leaving_) return false;
+  const auto report = reports_.find(member.id);
+  if (report != reports_.end() && report->second.leaving) return false;
+  return !intent.drained || !intent.drained(member);
+}
+
+std::optional<time_point> coordinator::withdrawn_right_end(const assignment_page& page,
+                                                           const renewer_record& record,
+                                                           const renewer& rights) const {
+  const auto seen = withdrawn_seen_.find(record.appointment);
+  if (seen == withdrawn_seen_.end()) return std::nullopt;
+  const auto known = rights.known_sequence(record.appointment);
+  if (known < rights.appointment()) return std::nullopt;
+  time_point end = seen->second + bounds_.for_giver(timing_.store_support);
+  end = std::max(end, rights.last_support_end(record.appointment));
+  const bool needs_all = page.move_since > 0 && known >= page.move_since;
+  if (needs_all) return end;
+  for (const auto& other : page.renewers) {
+    if (other.appointment == record.appointment || other.appointment == rights.appointment()) {
+      continue;
+    }
+    const auto word = support_words_.find({record.appointment, other.appointment});
+    const auto gone = ended_since(other.id);
+    if (word != support_words_.end()) {
+      end = std::max(end, word->second);
+    } else if (gone) {
+      end = std::max(end, *gone + bounds_.for_giver(timing_.support));
+    } else {
+      return std::nullopt;
+    }
+  }
+  return end;
+}
+
+bool coordinator::renewer_ended(const assignment_page& page, const renewer_record& record,
+                                const renewer& rights, time_point now) const {
+  if (evidence_ended(record.id, now)) return true;
+  if (!record.withdrawn) return false;
+  const auto own_word = own_words_.find(record.appointment);
+  if (own_word != own_words_.end() && own_word->second <= now) return true;
+  const auto end = withdrawn_right_end(page, record, rights);
+  return end && *end <= now;
+}
+
+bool coordinator::owner_ended(const assignment_page& page, const agent_id& owner,
+                              const renewer& rights, time_point now) const {
+  if (evidence_ended(owner, now)) return true;
+  const auto change = changes_.find(owner);
+  if (change == changes_.end()) return false;
+  if (!faults_.grant_end_not_awaited && rights.last_grant_end(owner) > now) return false;
+  return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
+    if (other.appointment == rights.appointment() || faults_.words_not_awaited) return true;
+    const auto word = change->second.words.find(other.appointment);
+    if (word != change->second.words.end() &&
+        (word->second <= now || faults_.grant_end_not_awaited)) {
+      return true;
+    }
+    return renewer_ended(page, other, rights, now);
+  });
+}
+
+void coordinator::tick(const assignment_page& page, const renewer& rights,
+                       const group_intent& intent, step& step) {
+  demand_stops(page, rights, step);
+  demand_releases(page, intent, step);
+}
+
+void coordinator::demand_stops(const assignment_page& page, const renewer& rights, step& step) {
+  std::set<agent_id> owners;
+  for (const auto& entry : page.ranges) owners.insert(entry.owner);
+  for (const auto& owner : owners) {
+    const bool wanted = suspect(owner, step.now);
+    const auto found = changes_.find(owner);
+    if (!wanted && found == changes_.end()) continue;
+    if (wanted && found == changes_.end()) {
+      changes_[owner] = {next_number_++, page.owner_changes, {}, {}};
+    }
+    auto& change = changes_[owner];
+    if (wanted && step.now < change.next_send) continue;
+    change.next_send = step.now + demand_interval;
+    const auto number = wanted ? change.number : next_number_++;
+    for (const auto& other : page.renewers) {
+      if (other.appointment == rights.appointment()) continue;
+      if (wanted && change.words.contains(other.appointment)) continue;
+      step.send(other.control, stop_request{name_of(page), page.epoch, number, owner, change.up_to,
+                                            wanted});
+    }
+    if (!wanted) changes_.erase(owner);
+  }
+}
+
+std::map<std::string, double> coordinator::quotas(const assignment_page& page,
+                                                  const group_intent& intent,
+                                                  time_point now) const {
+  std::map<std::string, double> weights;
+  double total = 0;
+  for (const auto& member : page.members) {
+    if (!eligible(member, intent, now)) continue;
+    const double weight = std::max(1U, member.upstream->slots);
+    weights[member.id.name] = weight;
+    total += weight;
+  }
+  for (auto& weight : weights | std::views::values) {
+    weight *= static_cast<double>(page.ranges.size()) / total;
+  }
+  return weights;
+}
+
+void coordinator::demand_releases(const assignment_page& page, const group_intent& intent,
+                                  step& step) {
+  if (step.now < next_release_) return;
+  next_release_ = step.now + release_interval;
+  const auto quota = quotas(page, intent, step.now);
+  if (quota.empty() || step.now - members_changed_ < settle_time) return;
+  std::map<std::string, std::vector<const range_assignment*>> owned;
+  for (const auto& name : quota | std::views::keys) owned[name];
+  std::map<std::string, std::vector<fence_token>> releases;
+  for (const auto& entry : page.ranges) {
+    if (entry.owner.name.empty() || changes_.contains(entry.owner)) continue;
+    if (quota.contains(entry.owner.name)) {
+      owned[entry.owner.name].push_back(&entry);
+    } else {
+      releases[entry.owner.name].push_back(entry.token);
+    }
+  }
+  std::size_t deficit = 0;
+  for (const auto& [name, share] : quota) {
+    const auto wanted = static_cast<std::size_t>(share);
+    deficit += wanted - std::min(wanted, owned[name].size());
+  }
+  const auto excess = [&](const auto& entry) {
+    return static_cast<double>(entry.second.size()) - quota.at(entry.first);
+  };
+  while (deficit-- > 0) {
+    const auto donor = std::ranges::max_element(owned, {}, excess);
+    if (static_cast<double>(donor->second.size()) < quota.at(donor->first) + 0.5) break;
+    releases[donor->first].push_back(donor->second.back()->token);
+    donor->second.pop_back();
+  }
+  for (auto& [name, tokens] : releases) {
+    const auto* member = find_member(page, name);
+    if (member != nullptr) step.send(member->control, release_request{name_of(page), tokens});
+  }
+}
+
+std::optional<assignment_page> coordinator::next_page(const assignment_page& page,
+                                                      const renewer& rights,
+                                                      const group_intent& intent,
+                                                      time_point now) const {
+  if (!is_coordinator(page, self_.id)) return std::nullopt;
+  assignment_page next = page;
+  ++next.sequence;
+  bool changed = update_members(next, now);
+  changed |= update_renewers(next, page, rights, now);
+  changed |= assign_ranges(next, page, rights, intent, now);
+  if (intent.move_when_isolated != (page.move_since > 0)) {
+    next.move_since = intent.move_when_isolated ? next.sequence : 0;
+    changed = true;
+  }
+  if (!changed) return std::nullopt;
+  return next;
+}
+
+bool coordinator::update_members(assignment_page& next, time_point now) const {
+  bool changed = false;
+  for (const auto& [name, join] : joins_) {
+    if (ended_since(join.id) || silent(join.id, now)) continue;
+    const auto report = reports_.find(join.id);
+    if (report != reports_.end() && report->second.leaving) continue;
+    const auto member =
+        std::ranges::find(next.members, name, [](const auto& entry) { return entry.id.name; });
+    if (member == next.members.end()) {
+      next.members.push_back(join);
+      changed = true;
+    } else if (member->id.incarnation <= join.id.incarnation && *member != join) {
+      *member = join;
+      changed = true;
+    }
+  }
+  const auto is_gone = [&](const agent_description& member) {
+    if (member.id == self_.id || owns_any(next, member.id)) return false;
+    const auto report = reports_.find(member.id);
+    const bool left = report != reports_.end() && report->second.leaving;
+    return left || now - last_heard(member.id) > forget_member_after;
+  };
+  const auto erased = std::erase_if(next.members, is_gone);
+  const auto floor_of = [](const agent_description& member) { return member.schema_version_max; };
+  if (!next.members.empty()) {
+    const auto floor = std::ranges::min(next.members | std::views::transform(floor_of));
+    changed |= floor != next.schema_floor;
+    next.schema_floor = floor;
+  }
+  return changed || erased > 0;
+}
+
+bool coordinator::withdrawal_known(const assignment_page& page,
+                                   const renewer_record& record) const {
+  return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
+    return other.id == self_.id || other.appointment == record.appointment ||
+           support_words_.contains({record.appointment, other.appointment}) ||
+           ended_since(other.id).has_value();
+  });
+}
+
+bool coordinator::update_renewers(assignment_page& next, const assignment_page& page,
+                                  const renewer& rights, time_point now) const {
+  bool changed = false;
+  for (auto& record : next.renewers) {
+    if (record.withdrawn || record.id == self_.id) continue;
+    const auto report = reports_.find(record.id);
+    const bool leaving = report != reports_.end() && report->second.leaving;
+    const bool lost = now - std::max(rights.heard_renewer(record.appointment), tenure_since_) >
+                      timing_.renewer_silence;
+    if (!lost && !leaving && !ended_since(record.id)) continue;
+    record.withdrawn = true;
+    changed = true;
+  }
+  const auto dropped = std::erase_if(next.renewers, [&](const renewer_record& record) {
+    const auto* known = find_appointment(page, record.appointment);
+    return record.id != self_.id && known != nullptr && known->withdrawn &&
+           renewer_ended(page, *known, rights, now) && withdrawal_known(page, *known);
+  });
+  if (self_leaving_ && hand_over_tenure(next, now)) return true;
+  return appoint(next, now) || changed || dropped > 0;
+}
+
+bool coordinator::hand_over_tenure(assignment_page& next, time_point now) const {
+  const auto successor = std::ranges::find_if(next.renewers, [&](const renewer_record& record) {
+    return record.id != self_.id && !record.withdrawn && alive(record.id, now);
+  });
+  if (successor == next.renewers.end()) return false;
+  next.renewers.front().withdrawn = true;
+  std::rotate(next.renewers.begin(), successor, std::next(successor));
+  ++next.epoch;
+  return true;
+}
+
+bool coordinator::appoint(assignment_page& next, time_point now) const {
+  const auto serving = [](const renewer_record& record) { return !record.withdrawn; };
+  const auto named = std::ranges::count_if(next.renewers, serving);
+  if (named >= static_cast<std::ptrdiff_t>(renewers_wanted)) return false;
+  if (next.renewers.size() >= renewers_most) return false;
+  const auto score = [&](const agent_description& member) {
+    const bool shares_domain = std::ranges::any_of(next.renewers, [&](const auto& record) {
+      return !record.withdrawn && record.failure_domain == member.failure_domain;
+    });
+    return (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
+           (owns_any(next, member.id) ? 0 : 1);
+  };
+  const agent_description* best = nullptr;
+  for (const auto& member : next.members) {
+    const auto report = reports_.find(member.id);
+    const bool leaving = report != reports_.end() && report->second.leaving;
+    const bool is_named = std::ranges::any_of(
+        next.renewers, [&](const auto& record) { return record.id.name == member.id.name; });
+    if (is_named || leaving || !alive(member.id, now)) continue;
+    if (best == nullptr || score(member) > score(*best)) best = &member;
+  }
+  if (best == nullptr) return false;
+  next.renewers.push_back(
+      {best->id, best->control, best->failure_domain, false, next.sequence});
+  const auto first_withdrawn = std::ranges::stable_partition(next.renewers, serving);
+  static_cast<void>(first_withdrawn);
+  return true;
+}
+
+bool coordinator::assign_ranges(assignment_page& next, const assignment_page& page,
+                                const renewer& rights, const group_intent& intent,
+                                time_point now) const {
+  const auto quota = quotas(next, intent, now);
+  std::map<std::string, double> counts;
+  std::vector<range_assignment*> free;
+  std::map<agent_id, bool> ended;
+  for (auto& entry : next.ranges) {
+    const auto [known, is_new] = ended.try_emplace(entry.owner, false);
+    if (is_new) {
+      known->second = entry.owner.name.empty() || owner_ended(page, entry.owner, rights, now);
+    }
+    if (known->second || released_.contains(entry.token)) {
+      free.push_back(&entry);
+    } else {
+      counts[entry.owner.name] += 1;
+    }
+  }
+  if (free.empty() || quota.empty()) return false;
+  const bool first_time = page.owner_changes == 0;
+  if (first_time && now - members_changed_ < settle_time) return false;
+  const auto fill = [&](const auto& entry) { return (counts[entry.first] + 1) / entry.second; };
+  for (auto* entry : free) {
+    const auto same = quota.find(entry->owner.name);
+    const bool returns = same != quota.end() && !released_.contains(entry->token) &&
+                         counts[same->first] < same->second;
+    const auto& chosen = returns ? same->first : std::ranges::min_element(quota, {}, fill)->first;
+    counts[chosen] += 1;
+    entry->had_earlier_owner = entry->had_earlier_owner || !entry->owner.name.empty();
+    entry->owner = find_member(next, chosen)->id;
+    entry->token = {next.epoch, ++next.owner_changes};
+  }
+  return true;
+}
+
+std::optional<assignment_page> coordinator::takeover_page(const assignment_page& page,
+                                                          const renewer& rights,
+                                                          time_point now) const {
+  const auto* own = find_appointment(page, rights.appointment());
+  if (own == nullptr || own->withdrawn || self_leaving_ || is_coordinator(page, self_.id)) {
+    return std::nullopt;
+  }
+  const auto& first = page.renewers.front();
+  const auto rank = std::ranges::count_if(
+      page.renewers.begin() + 1,
+      std::ranges::find(page.renewers, rights.appointment(), &renewer_record::appointment),
+      [](const renewer_record& record) { return !record.withdrawn; });
+  const duration patience = timing_.renewer_silence + rank * timing_.support_interval;
+  const auto gone = ended_since(first.id);
+  const bool lost = now - std::max(rights.heard_renewer(first.appointment), began_) > patience;
+  const bool replaced = gone && now - *gone >= rank * timing_.support_interval;
+  if (!first.withdrawn && !lost && !replaced) return std::nullopt;
+  assignment_page next = page;
+  ++next.sequence;
+  ++next.epoch;
+  next.renewers.front().withdrawn = true;
+  const auto place =
+      std::ranges::find(next.renewers, rights.appointment(), &renewer_record::appointment);
+  std::rotate(next.renewers.begin(), place, std::next(place));
+  std::ranges::stable_partition(next.renewers,
+                                [](const renewer_record& record) { return !record.withdrawn; });
+  return next;
+}
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/owner.cpp
@@ -0,0 +1,179 @@
+#include "masticshunt/decisions/ownership/owner.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include "masticshunt/decisions/ownership/page.h"
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr std::size_t requests_remembered = 16;
+constexpr duration answer_timeout = std::chrono::milliseconds{200};
+
+}  // namespace
+
+owner::owner(agent_description self, lease_timing timing, fault_injection faults)
+    : self_(std::move(self)), timing_(timing), faults_(faults), bounds_(timing, faults) {}
+
+void owner::observe_time(time_point now) {
+  const bool paused = last_seen_ != time_point{} && now - last_seen_ > timing_.pause_limit;
+  last_seen_ = std::max(last_seen_, now);
+  if (!paused) return;
+  ++pauses_;
+  if (faults_.pause_lease_kept) return;
+  for (auto& [first, entry] : held_) entry.lease_end = time_point{};
+  next_renewal_ = now;
+}
+
+void owner::page_adopted(const assignment_page& page, const owner_report& report, step& step) {
+  std::map<key_hash, held_range> kept;
+  bool is_new = false;
+  for (const auto& assignment : page.ranges) {
+    if (assignment.owner != self_.id) continue;
+    auto& entry = kept[assignment.range.first];
+    const auto old = held_.find(assignment.range.first);
+    if (old != held_.end() && old->second.assignment.token >= assignment.token) {
+      entry = old->second;
+    } else {
+      entry.assignment = assignment;
+      is_new = true;
+    }
+  }
+  held_ = std::move(kept);
+  if (leaving_) {
+    for (auto& [first, entry] : held_) finish(entry, step);
+  }
+  if (is_new) send_renewals(page, report, false, step);
+}
+
+void owner::tick(const assignment_page& page, const owner_report& report, step& step) {
+  const bool unanswered = unanswered_since_ && step.now - *unanswered_since_ >= answer_timeout;
+  if (step.now < next_renewal_ && !unanswered) return;
+  send_renewals(page, report, unanswered, step);
+}
+
+void owner::send_renewals(const assignment_page& page, const owner_report& report, bool to_all,
+                          step& step) {
+  renew_request request{.group = name_of(page),
+                        .owner = self_.id,
+                        .request = next_request_++,
+                        .sequence = page.sequence,
+                        .leaving = leaving_,
+                        .released = {},
+                        .config_digest = report.config_digest,
+                        .config_revision = report.config_revision,
+                        .schema_version_max = self_.schema_version_max,
+                        .busy_slots = report.busy_slots};
+  for (const auto& [first, entry] : held_) {
+    if (entry.state == phase::released) request.released.push_back(entry.assignment.token);
+  }
+  sent_[request.request] = step.now;
+  while (sent_.size() > requests_remembered) sent_.erase(sent_.begin());
+  for (const auto& renewer : page.renewers) {
+    if (renewer.withdrawn) continue;
+    step.send(renewer.control, request);
+    if (!to_all) break;
+  }
+  if (!unanswered_since_ || to_all) unanswered_since_ = step.now;
+  next_renewal_ = step.now + timing_.renewal_interval;
+}
+
+owner::held_range* owner::entry_for(const range_assignment& granted, bool may_create) {
+  const auto found = held_.find(granted.range.first);
+  if (found != held_.end() && found->second.assignment.token == granted.token) {
+    return &found->second;
+  }
+  if (!may_create) return nullptr;
+  if (found != held_.end() && found->second.assignment.token > granted.token) return nullptr;
+  auto& entry = held_[granted.range.first];
+  entry = {};
+  entry.assignment = granted;
+  return &entry;
+}
+
+void owner::handle(const renew_reply& reply, std::uint64_t page_sequence, step& step) {
+  const auto request = sent_.find(reply.request);
+  if (reply.owner != self_.id && !faults_.incarnation_ignored) return;
+  if (request == sent_.end()) return;
+  unanswered_since_.reset();
+  last_answer_ = step.now;
+  const duration margin = faults_.margin_removed ? duration{} : timing_.margin;
+  const time_point counted_from = faults_.lease_from_reply ? step.now : request->second;
+  const time_point end =
+      counted_from + bounds_.for_holder(std::min(reply.lease, timing_.lease)) - margin;
+  for (const auto& granted : reply.granted) {
+    auto* entry = entry_for(granted, reply.sequence >= page_sequence);
+    if (entry == nullptr || entry->state == phase::released) continue;
+    entry->lease_end = std::max(entry->lease_end, end);
+    if (!entry->owned_since) {
+      entry->owned_since = granted.had_earlier_owner ? step.now : time_point::min();
+    }
+    if (leaving_) finish(*entry, step);
+  }
+}
+
+void owner::finish(held_range& entry, step& step) {
+  if (entry.state != phase::held) return;
+  entry.state = phase::finishing;
+  const std::string service = self_.upstream ? self_.upstream->service : std::string{};
+  step.out.push_back(finish_range{service, entry.assignment.range});
+}
+
+void owner::handle(const release_request& request, step& step) {
+  for (auto& [first, entry] : held_) {
+    if (std::ranges::find(request.tokens, entry.assignment.token) != request.tokens.end()) {
+      finish(entry, step);
+    }
+  }
+}
+
+void owner::range_quiet(const hash_range& range, const assignment_page& page,
+                        const owner_report& report, step& step) {
+  const auto found = held_.find(range.first);
+  if (found == held_.end() || found->second.state != phase::finishing) return;
+  found->second.state = phase::released;
+  found->second.lease_end = time_point{};
+  send_renewals(page, report, false, step);
+}
+
+void owner::vacate(bool leaving, step& step) {
+  if (leaving_ == leaving) return;
+  leaving_ = leaving;
+  next_renewal_ = step.now;
+  if (!leaving) return;
+  for (auto& [first, entry] : held_) finish(entry, step);
+}
+
+void owner::abandon(const assignment_page& page, const owner_report& report, step& step) {
+  for (auto& [first, entry] : held_) {
+    entry.state = phase::released;
+    entry.lease_end = time_point{};
+  }
+  leaving_ = true;
+  send_renewals(page, report, false, step);
+}
+
+std::optional<admission_ticket> owner::admit(key_hash hash, time_point now) {
+  observe_time(now);
+  auto after = held_.upper_bound(hash);
+  if (after == held_.begin()) return std::nullopt;
+  const auto& entry = std::prev(after)->second;
+  if (!entry.assignment.range.contains(hash) || entry.state != phase::held) return std::nullopt;
+  if (entry.lease_end <= now || !entry.owned_since) return std::nullopt;
+  return admission_ticket{entry.assignment.range, entry.assignment.token, entry.lease_end,
+                          *entry.owned_since};
+}
+
+std::size_t owner::leased(time_point now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(held_ | std::views::values, [&](auto& e) {
+    return e.state == phase::held && e.lease_end > now;
+  }));
+}
+
+bool owner::empty() const {
+  return std::ranges::all_of(held_ | std::views::values,
+                             [](const auto& entry) { return entry.state == phase::released; });
+}
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/renewer.cpp
@@ -0,0 +1,224 @@
+#include "masticshunt/decisions/ownership/renewer.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include "masticshunt/decisions/ownership/page.h"
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr std::size_t requests_remembered = 16;
+constexpr duration shortest_lease = std::chrono::milliseconds{150};
+constexpr duration store_support_reserve = std::chrono::milliseconds{800};
+
+}  // namespace
+
+renewer::renewer(agent_id self, std::uint64_t appointment, lease_timing timing,
+                 fault_injection faults, time_point now)
+    : self_(std::move(self)),
+      appointment_(appointment),
+      timing_(timing),
+      faults_(faults),
+      bounds_(timing, faults),
+      began_(now) {}
+
+renewer::peer& renewer::peer_of(std::uint64_t appointment) {
+  const auto [place, is_new] = peers_.try_emplace(appointment);
+  if (is_new) place->second.heard = began_;
+  return place->second;
+}
+
+bool renewer::counts(const assignment_page& page, const renewer_record& other) const {
+  if (other.appointment == appointment_) return false;
+  return !other.withdrawn || (faults_.withdrawn_supporter_counted && !page.renewers.empty());
+}
+
+std::optional<time_point> renewer::right_end(const assignment_page& page) const {
+  const auto* own = find_appointment(page, appointment_);
+  if (faults_.right_unchecked) return time_point::max();
+  if (own == nullptr || own->withdrawn || own->id != self_) return std::nullopt;
+  if (page.renewers.size() == 1 && page.move_since == 0) return time_point::max();
+  time_point any_peer{};
+  std::optional<time_point> all_peers;
+  for (const auto& other : page.renewers) {
+    if (!counts(page, other)) continue;
+    const auto known = peers_.find(other.appointment);
+    const time_point until = known == peers_.end() ? time_point{} : known->second.support_until;
+    any_peer = std::max(any_peer, until);
+    all_peers = all_peers ? std::min(*all_peers, until) : until;
+  }
+  const time_point by_peers = page.move_since == 0 ? any_peer : all_peers.value_or(time_point{});
+  const time_point end = std::max(by_peers, store_support_until_);
+  return end == time_point{} ? std::nullopt : std::optional{end};
+}
+
+bool renewer::tick(const assignment_page& page, step& step) {
+  const auto* own = find_appointment(page, appointment_);
+  if (own == nullptr || step.now < next_heartbeat_) return false;
+  next_heartbeat_ = step.now + timing_.support_interval;
+  const std::uint64_t request = next_request_++;
+  sent_[request] = step.now;
+  while (sent_.size() > requests_remembered) sent_.erase(sent_.begin());
+  for (const auto& other : page.renewers) {
+    if (other.appointment == appointment_) continue;
+    step.send(other.control,
+              support_request{name_of(page), appointment_, request, page.sequence});
+  }
+  if (own->withdrawn) return false;
+  const auto end = right_end(page);
+  return !end || *end - step.now < store_support_reserve;
+}
+
+void renewer::send_ack(const endpoint& to, const assignment_page& page, step& step) const {
+  page_ack ack{name_of(page), page.sequence, appointment_, {}, {}};
+  const auto remaining = [&](time_point end) {
+    return bounds_.for_giver(std::max(end - step.now, duration{}));
+  };
+  for (const auto& other : page.renewers) {
+    if (!other.withdrawn) continue;
+    if (other.appointment == appointment_) {
+      time_point last{};
+      for (const auto end : grant_ends_ | std::views::values) last = std::max(last, end);
+      ack.own_grants_end_in = remaining(last);
+    } else {
+      ack.supports.push_back({other.appointment, remaining(last_support_end(other.appointment))});
+    }
+  }
+  step.send(to, ack);
+}
+
+void renewer::page_adopted(const assignment_page& page, step& step) {
+  std::erase_if(promises_, [&](const auto& entry) {
+    return std::ranges::none_of(page.ranges, [&](const range_assignment& range) {
+      return range.owner == entry.first && range.token.sequence <= entry.second.up_to;
+    });
+  });
+  std::erase_if(grant_ends_, [&](const auto& entry) { return entry.second <= step.now; });
+  std::erase_if(owners_heard_, [&](const auto& entry) {
+    return find_member(page, entry.first.name) == nullptr && !owns_any(page, entry.first);
+  });
+  for (const auto& other : page.renewers) {
+    if (other.appointment != appointment_) send_ack(other.control, page, step);
+  }
+}
+
+bool renewer::promised(const agent_id& owner, const fence_token& token) const {
+  if (faults_.stop_word_ignored) return false;
+  const auto found = promises_.find(owner);
+  return found != promises_.end() && found->second.active && token.sequence <= found->second.up_to;
+}
+
+void renewer::handle(const renew_request& request, const endpoint& from,
+                     const assignment_page& page, const std::vector<fence_token>& blocked,
+                     invariant_counters& invariants, step& step) {
+  owners_heard_[request.owner] = step.now;
+  const auto end = right_end(page);
+  if (!end || *end <= step.now) return;
+  const duration lease = *end == time_point::max()
+                             ? timing_.lease
+                             : std::min(timing_.lease, bounds_.for_holder(*end - step.now));
+  if (lease < shortest_lease) return;
+  renew_reply reply{name_of(page), request.owner, request.request, page.sequence, lease, {}};
+  const auto may_renew = [&](const range_assignment& entry) {
+    const bool is_owner = faults_.incarnation_ignored ? entry.owner.name == request.owner.name
+                                                      : entry.owner == request.owner;
+    return is_owner && !promised(entry.owner, entry.token) &&
+           std::ranges::find(request.released, entry.token) == request.released.end() &&
+           std::ranges::find(blocked, entry.token) == blocked.end();
+  };
+  std::ranges::copy_if(page.ranges, std::back_inserter(reply.granted), may_renew);
+  if (!reply.granted.empty()) {
+    invariants.check(*end == time_point::max() || step.now + lease <= *end,
+                     "lease_within_right_to_renew");
+    auto& grant_end = grant_ends_[request.owner];
+    grant_end = std::max(grant_end, step.now + bounds_.for_giver(lease));
+  }
+  step.send(from, std::move(reply));
+}
+
+void renewer::handle(const support_request& request, const endpoint& from,
+                     const assignment_page& page, step& step) {
+  const auto* asking = find_appointment(page, request.appointment);
+  if (asking == nullptr) return;
+  note_renewer(request.appointment, request.sequence, step.now);
+  const auto* own = find_appointment(page, appointment_);
+  const bool supported =
+      !asking->withdrawn && own != nullptr && (!own->withdrawn || page.move_since == 0);
+  if (supported) {
+    auto& given = peer_of(request.appointment).given_until;
+    given = std::max(given, step.now + bounds_.for_giver(timing_.support));
+  }
+  step.send(from, support_reply{name_of(page), request.appointment, appointment_, request.request,
+                                page.sequence, supported});
+  if (request.sequence < page.sequence) step.send(from, page_update{page});
+}
+
+void renewer::handle(const support_reply& reply, const assignment_page& page, step& step) {
+  const auto* supporter = find_appointment(page, reply.supporter);
+  const auto request = sent_.find(reply.request);
+  if (supporter == nullptr || request == sent_.end() || reply.appointment != appointment_) return;
+  note_renewer(reply.supporter, reply.sequence, step.now);
+  if (!reply.supported) return;
+  auto& until = peer_of(reply.supporter).support_until;
+  until = std::max(until, request->second + bounds_.for_holder(timing_.support));
+}
+
+void renewer::handle(const stop_request& request, const endpoint& from,
+                     const assignment_page& page, step& step) {
+  if (request.epoch != page.epoch) return;
+  auto& known = promises_[request.owner];
+  if (std::pair(request.epoch, request.number) < std::pair(known.epoch, known.number)) return;
+  known = {request.epoch, request.number, request.up_to, request.active};
+  if (!request.active) return;
+  stop_reply reply{name_of(page), request.epoch, request.number, appointment_, request.owner,
+                   bounds_.for_giver(
+                       std::max(last_grant_end(request.owner) - step.now, duration{})),
+                   {}};
+  if (const auto last = heard(request.owner)) reply.heard_ago = step.now - *last;
+  step.send(from, reply);
+}
+
+void renewer::supported_by_store(time_point sent) {
+  store_support_until_ =
+      std::max(store_support_until_, sent + bounds_.for_holder(timing_.store_support));
+}
+
+time_point renewer::last_grant_end(const agent_id& owner) const {
+  const auto found = grant_ends_.find(owner);
+  return found == grant_ends_.end() ? time_point{} : found->second;
+}
+
+time_point renewer::last_support_end(std::uint64_t appointment) const {
+  const auto found = peers_.find(appointment);
+  return found == peers_.end() ? time_point{} : found->second.given_until;
+}
+
+std::optional<time_point> renewer::heard(const agent_id& owner) const {
+  const auto found = owners_heard_.find(owner);
+  return found == owners_heard_.end() ? std::nullopt : std::optional{found->second};
+}
+
+time_point renewer::heard_renewer(std::uint64_t appointment) const {
+  const auto found = peers_.find(appointment);
+  return found == peers_.end() ? began_ : found->second.heard;
+}
+
+std::uint64_t renewer::known_sequence(std::uint64_t appointment) const {
+  const auto found = peers_.find(appointment);
+  return found == peers_.end() ? 0 : found->second.sequence;
+}
+
+void renewer::note_renewer(std::uint64_t appointment, std::uint64_t sequence, time_point now) {
+  auto& other = peer_of(appointment);
+  other.heard = std::max(other.heard, now);
+  other.sequence = std::max(other.sequence, sequence);
+}
+
+void renewer::forgive_silence(time_point now) {
+  began_ = now;
+  for (auto& other : peers_ | std::views::values) other.heard = now;
+  for (auto& heard : owners_heard_ | std::views::values) heard = now;
+}
+
+}  // namespace masticshunt::ownership
