--- a/include/masticshunt/decisions/ownership/agent_core.h
+++ b/include/masticshunt/decisions/ownership/agent_core.h
@@ -155,28 +155,28 @@
 /// Breaks single rules on purpose, so that tests can show that the invariants would notice.
 /// All false in production.
 struct fault_injection {
-  bool margin_removed = false;             ///< Leases end without a margin.
-  bool drift_ignored = false;              ///< Durations are not corrected for clock drift.
-  bool lease_from_reply = false;           ///< A lease counts from the reply, not the request.
-  bool stop_word_ignored = false;          ///< A renewer goes on after it promised to stop.
-  bool words_not_awaited = false;          ///< Owners change without other renewers' words.
-  bool grant_end_not_awaited = false;      ///< Owners change before their grants have ended.
+  bool margin_removed = false;               ///< Leases end without a margin.
+  bool drift_ignored = false;                ///< Durations are not corrected for clock drift.
+  bool lease_from_reply = false;             ///< A lease counts from the reply, not the request.
+  bool stop_word_ignored = false;            ///< A renewer goes on after it promised to stop.
+  bool words_not_awaited = false;            ///< Owners change without other renewers' words.
+  bool grant_end_not_awaited = false;        ///< Owners change before their grants have ended.
   bool withdrawn_supporter_counted = false;  ///< Supports of withdrawn renewers still count.
-  bool right_unchecked = false;            ///< Renewers renew without any support.
-  bool incarnation_ignored = false;        ///< A restarted owner is taken for the old one.
-  bool epoch_unchecked = false;            ///< Old pages replace newer ones.
-  bool write_unconditional = false;        ///< Page writes overwrite whatever is there.
-  bool pause_lease_kept = false;           ///< The end of a lease is only checked at events.
-  bool records_revert = false;             ///< Older records replace newer ones.
-  bool drain_ignored = false;              ///< A drained owner goes on.
+  bool right_unchecked = false;              ///< Renewers renew without any support.
+  bool incarnation_ignored = false;          ///< A restarted owner is taken for the old one.
+  bool epoch_unchecked = false;              ///< Old pages replace newer ones.
+  bool conflict_overwritten = false;         ///< A refused page write is forced over the winner.
+  bool lease_end_unchecked = false;          ///< A lease goes on after its end.
+  bool records_revert = false;               ///< Older records replace newer ones.
+  bool drain_ignored = false;                ///< A drained owner goes on.
 };
 
 /// What an agent needs to know before it starts.
 struct core_settings {
   agent_description self;
   lease_timing timing;
-  std::vector<std::string> services;  ///< Services this agent may be asked to route; empty: all.
-  std::uint64_t seed = 0;             ///< Drives every choice that is to be spread evenly.
+  std::vector<std::string> services;   ///< Services this agent may be asked to route; empty: all.
+  std::uint64_t seed = 0;              ///< Drives every choice that is to be spread evenly.
   std::uint32_t expected_members = 6;  ///< Of a new group; sets how many ranges it starts with.
   fault_injection faults;
 };
--- a/include/masticshunt/decisions/ownership/coordinator.h
+++ b/include/masticshunt/decisions/ownership/coordinator.h
@@ -52,9 +52,10 @@
   /// Says that this agent itself wants to leave.
   void set_leaving(bool leaving) { self_leaving_ = leaving; }
 
-  /// Sends the demands that are due: stop renewing, release.
+  /// Sends the demands that are due: stop renewing, release. While a write is in doubt
+  /// (`may_take_back` is false) no demand is taken back, since the write may rest on its answer.
   void tick(const assignment_page& page, const renewer& rights, const group_intent& intent,
-            step& step);
+            bool may_take_back, step& step);
   /// Returns the page that should follow `page`, or nothing if it is right as it is.
   [[nodiscard]] std::optional<assignment_page> next_page(const assignment_page& page,
                                                          const renewer& rights,
@@ -67,6 +68,10 @@
   /// Returns true if the right of a withdrawn renewer, and all it granted, is known to have ended.
   [[nodiscard]] bool renewer_ended(const assignment_page& page, const renewer_record& record,
                                    const renewer& rights, time_point now) const;
+  /// Returns the number of the next demand to stop renewing an owner.
+  [[nodiscard]] std::uint64_t next_stop() const { return next_number_; }
+  /// Returns the numbers of the demands that stand.
+  [[nodiscard]] std::vector<std::uint64_t> active_stops() const;
   /// Returns true if `owner` is known to hold no lease any more and can't get one.
   [[nodiscard]] bool owner_ended(const assignment_page& page, const agent_id& owner,
                                  const renewer& rights, time_point now) const;
@@ -95,9 +100,12 @@
   [[nodiscard]] std::optional<time_point> withdrawn_right_end(const assignment_page& page,
                                                               const renewer_record& record,
                                                               const renewer& rights) const;
+  [[nodiscard]] bool can_prove_end(const assignment_page& page, const renewer_record& record,
+                                   const renewer& rights, time_point now) const;
   [[nodiscard]] bool withdrawal_known(const assignment_page& page,
                                       const renewer_record& record) const;
-  void demand_stops(const assignment_page& page, const renewer& rights, step& step);
+  void demand_stops(const assignment_page& page, const renewer& rights, bool may_take_back,
+                    step& step);
   void demand_releases(const assignment_page& page, const group_intent& intent, step& step);
   [[nodiscard]] std::map<std::string, double> quotas(const assignment_page& page,
                                                      const group_intent& intent,
@@ -129,8 +137,8 @@
   time_point next_release_{};
   time_point members_changed_{};
   bool has_tenure_ = false;
-  time_point tenure_since_;         ///< Silences are counted from here at the earliest.
-  std::uint64_t last_first_ = 0;    ///< Appointment of the coordinator of the page before.
+  time_point tenure_since_;       ///< Silences are counted from here at the earliest.
+  std::uint64_t last_first_ = 0;  ///< Appointment of the coordinator of the page before.
 };
 
 }  // namespace masticshunt::ownership
--- /dev/null
+++ b/include/masticshunt/decisions/ownership/group_host.h
@@ -0,0 +1,94 @@
+/// @file
+/// One group of ranges as one agent sees it: the page, and this agent's part in it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "masticshunt/decisions/ownership/coordinator.h"
+#include "masticshunt/decisions/ownership/page_writer.h"
+#include "masticshunt/decisions/ownership/renewer.h"
+#include "masticshunt/decisions/ownership/step.h"
+
+namespace masticshunt::ownership {
+
+/// Composes the page, the renewer and the coordinator of one group.
+///
+/// The renewer and the coordinator live while the page names this agent (this incarnation) among
+/// the renewers; a new appointment makes new ones.
+/// Thread safety: none.
+class group_host {
+ public:
+  group_host(agent_description self, lease_timing timing, fault_injection faults, group_name name);
+
+  /// Takes in a page from the store or a peer. Returns true if it is newer than the one held.
+  bool adopt(const assignment_page& page, invariant_counters& invariants, step& step);
+  /// Does what is due: heartbeats, demands, the next page. Returns true if the store's page should
+  /// be read for support.
+  bool tick(const group_intent& intent, invariant_counters& invariants, step& step);
+  /// Proposes a page for the store unless a write is in doubt.
+  void propose(assignment_page next, time_point now);
+  /// Proposes the first page of the group, with this agent as its only renewer.
+  void create(std::uint32_t groups, std::uint32_t ranges, time_point now);
+  /// Proposes a page with this agent as coordinator, though no renewer was: for a group whose
+  /// renewers do not answer.
+  void take_over_from_outside(time_point now);
+  /// Takes in the answer to a write. Returns true if the page must be read to know its fate.
+  bool answered(const store_write_done& answer, jitter_source& jitter,
+                invariant_counters& invariants, step& step);
+  /// Takes in a page read from the store by a call sent at `sent`.
+  void read_for_support(const assignment_page& page, time_point sent,
+                        invariant_counters& invariants, step& step);
+  /// Handles a message about this group that concerns renewers; others are ignored.
+  void handle(const message& body, const endpoint& from, invariant_counters& invariants,
+              step& step);
+  /// This process was paused.
+  void forgive_silence(time_point now);
+  /// Says that this agent wants to leave.
+  void set_leaving(bool leaving);
+  /// Takes a changed description of this agent.
+  void describe_self(const agent_description& self) { self_ = self; }
+  /// An agent up to an incarnation is known to have ended.
+  void note_ended(const std::string& name, std::uint64_t last_incarnation, time_point now);
+
+  /// Returns the page; its version is zero if none is known.
+  [[nodiscard]] const assignment_page& page() const { return page_; }
+  /// Returns the name of the group.
+  [[nodiscard]] const group_name& name() const { return name_; }
+  /// Returns the renewer, or null.
+  [[nodiscard]] const renewer* rights() const { return renewer_ ? &*renewer_ : nullptr; }
+  /// Returns true if this agent is the group's coordinator.
+  [[nodiscard]] bool coordinates() const;
+  /// Returns true if this agent is a renewer that is not withdrawn.
+  [[nodiscard]] bool renews() const;
+  /// Returns the writer, for sending what is due.
+  [[nodiscard]] page_writer& writer() { return writer_; }
+
+ private:
+  [[nodiscard]] std::vector<fence_token> tokens_in_change() const;
+  void consider_next_page(const group_intent& intent, time_point now);
+  void on(const join_request& request, const endpoint& from, invariant_counters&, step& step);
+  void on(const renew_request& request, const endpoint& from, invariant_counters& invariants,
+          step& step);
+  void on(const support_request& request, const endpoint& from, invariant_counters&, step& step);
+  void on(const support_reply& reply, const endpoint& from, invariant_counters&, step& step);
+  void on(const stop_request& request, const endpoint& from, invariant_counters&, step& step);
+  void on(const stop_reply& reply, const endpoint& from, invariant_counters&, step& step);
+  void on(const page_ack& ack, const endpoint& from, invariant_counters&, step& step);
+
+  agent_description self_;
+  lease_timing timing_;
+  fault_injection faults_;
+  group_name name_;
+  assignment_page page_;
+  std::optional<renewer> renewer_;
+  std::optional<coordinator> coordinator_;
+  page_writer writer_;
+  std::uint64_t writes_ = 0;
+  std::uint64_t takeovers_ = 0;
+  time_point next_takeover_{};
+  bool leaving_ = false;
+};
+
+}  // namespace masticshunt::ownership
--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -61,8 +61,8 @@
 struct page_ack {
   group_name group;
   std::uint64_t sequence = 0;
-  std::uint64_t appointment = 0;             ///< The sender's.
-  std::vector<ended_promise> supports;       ///< Supports of the sender that are over.
+  std::uint64_t appointment = 0;              ///< The sender's.
+  std::vector<ended_promise> supports;        ///< Supports of the sender that are over.
   std::optional<duration> own_grants_end_in;  ///< Set if the sender itself is withdrawn.
 
   bool operator==(const page_ack&) const = default;
@@ -110,6 +110,9 @@
   std::uint64_t appointment = 0;  ///< The sender's.
   std::uint64_t request = 0;
   std::uint64_t sequence = 0;
+  std::uint64_t epoch = 0;                  ///< Of the page that the sender holds.
+  std::uint64_t next_stop = 0;              ///< If the sender is the coordinator: its next demand.
+  std::vector<std::uint64_t> active_stops;  ///< Demands below it that still stand.
 
   bool operator==(const support_request&) const = default;
 };
@@ -145,7 +148,7 @@
   std::uint64_t number = 0;
   std::uint64_t appointment = 0;  ///< The sender's.
   agent_id owner;
-  duration ends_in{};                  ///< Until the last grant ends.
+  duration ends_in{};                 ///< Until the last grant ends.
   std::optional<duration> heard_ago;  ///< Since the owner was last heard by the sender.
 
   bool operator==(const stop_reply&) const = default;
@@ -162,7 +165,8 @@
 
 /// Carries configuration records to agents that lack them.
 struct records_update {
-  std::uint64_t revision = 0;
+  std::uint64_t revision = 0;  ///< The store's revision that the sender knows completely.
+  bool complete = false;       ///< `records` holds everything up to `revision`.
   std::vector<stored_record> records;
 
   bool operator==(const records_update&) const = default;
--- a/include/masticshunt/decisions/ownership/owner.h
+++ b/include/masticshunt/decisions/ownership/owner.h
@@ -27,6 +27,8 @@
  public:
   owner(agent_description self, lease_timing timing, fault_injection faults);
 
+  /// Takes a changed description of this agent.
+  void describe_self(const agent_description& self) { self_ = self; }
   /// Notices a pause: call it first for every event.
   void observe_time(time_point now);
   /// Takes in a newer page: new ranges are asked for, lost ones dropped.
@@ -38,8 +40,8 @@
   /// Starts to hand over some ranges.
   void handle(const release_request& request, step& step);
   /// A range that was told to finish is quiet: releases it.
-  void range_quiet(const hash_range& range, const assignment_page& page,
-                   const owner_report& report, step& step);
+  void range_quiet(const hash_range& range, const assignment_page& page, const owner_report& report,
+                   step& step);
   /// Hands over everything and takes no range any more; `vacate(false)` ends that.
   void vacate(bool leaving, step& step);
   /// Gives up every range at once: the upstream is gone, nothing of it can run.
--- a/include/masticshunt/decisions/ownership/renewer.h
+++ b/include/masticshunt/decisions/ownership/renewer.h
@@ -26,7 +26,9 @@
           time_point now);
 
   /// Sends heartbeats that are due. Returns true if the store should be read for support.
-  bool tick(const assignment_page& page, step& step);
+  /// `next_stop` and `active_stops` are the coordinator's demands that still stand.
+  bool tick(const assignment_page& page, std::uint64_t next_stop,
+            const std::vector<std::uint64_t>& active_stops, step& step);
   /// Tells the other renewers which page is held, and drops what the page made void.
   void page_adopted(const assignment_page& page, step& step);
   /// Answers an owner. `blocked` names tokens that are being changed.
--- a/include/masticshunt/decisions/ownership/types.h
+++ b/include/masticshunt/decisions/ownership/types.h
@@ -57,6 +57,7 @@
   bool withdrawn =
       false;  ///< Support is withdrawn; it is replaced once its grants are known ended.
   std::uint64_t appointment = 0;  ///< The page's sequence when it was named; unique in the page.
+  bool alone = false;  ///< It may hold a page that names no other renewer; nobody supports it.
 
   bool operator==(const renewer_record&) const = default;
 };
@@ -73,9 +74,9 @@
   std::vector<range_assignment> ranges;    ///< Sorted by first; together they cover the group.
   std::uint64_t sequence = 0;              ///< Raised by one with every write of the page.
   std::uint64_t owner_changes = 0;         ///< Numbers the tokens; each range's is unique.
-  std::uint64_t move_since = 0;  ///< Sequence at which isolation became `move`; zero for `stay`.
-  std::uint32_t schema_floor = 1;     ///< The newest record schema that all members can read.
-  std::string write_id;               ///< Names the write, so that a lost answer is recognised.
+  std::uint64_t move_since = 0;    ///< Sequence at which isolation became `move`; zero for `stay`.
+  std::uint32_t schema_floor = 1;  ///< The newest record schema that all members can read.
+  std::string write_id;            ///< Names the write, so that a lost answer is recognised.
 
   bool operator==(const assignment_page&) const = default;
 };
--- /dev/null
+++ b/src/decisions/ownership/agent_core.cpp
@@ -0,0 +1,76 @@
+#include "masticshunt/decisions/ownership/agent_core.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "internal/agent_state.h"
+#include "internal/json_codec.h"
+
+namespace masticshunt::ownership {
+
+agent_core::agent_core(core_settings settings)
+    : state_(std::make_unique<state>(std::move(settings))) {}
+agent_core::~agent_core() = default;
+agent_core::agent_core(agent_core&&) noexcept = default;
+agent_core& agent_core::operator=(agent_core&&) noexcept = default;
+
+actions agent_core::handle(const event& what, time_point now) {
+  step current{now, {}};
+  state_->observe_time(now);
+  std::visit([&](const auto& typed) { state_->handle(typed, current); }, what);
+  return std::move(current.out);
+}
+
+std::optional<route_answer> agent_core::route(std::string_view service, key_hash hash) const {
+  for (const auto& [name, group] : state_->groups) {
+    if (name.service != service) continue;
+    const auto* range = find_range(group.page(), hash);
+    if (range == nullptr) continue;
+    const auto* member = find_member(group.page(), range->owner.name);
+    if (member == nullptr || member->id != range->owner) return std::nullopt;
+    return route_answer{*member, range->token, member->id == state_->self.id};
+  }
+  return std::nullopt;
+}
+
+std::optional<admission_ticket> agent_core::admit(std::string_view service, key_hash hash,
+                                                  time_point now) {
+  if (!state_->own_group || state_->own_group->service != service) return std::nullopt;
+  return state_->leases.admit(hash, now);
+}
+
+bool agent_core::accepts_callers() const {
+  return !state_->stopping && !state_->drained();
+}
+
+std::string agent_core::dump(time_point now) const {
+  const auto& core = *state_;
+  nlohmann::json out{{"agent", core.self},
+                     {"config_revision", core.records.revision()},
+                     {"config_digest", core.records.digest()},
+                     {"leased_ranges", core.leases.leased(now)},
+                     {"pauses", core.leases.pauses()},
+                     {"leaving", core.leases.leaving()},
+                     {"stopping", core.stopping},
+                     {"store_calls_open", core.calls.size()},
+                     {"invariant_violations", core.invariants.violations()}};
+  auto& groups = out["groups"] = nlohmann::json::array();
+  for (const auto& [name, group] : core.groups) {
+    nlohmann::json entry{
+        {"page", group.page()}, {"coordinates", group.coordinates()}, {"renews", group.renews()}};
+    if (const auto* rights = group.rights()) {
+      const auto end = rights->right_end(group.page());
+      const bool endless = end && *end == time_point::max();
+      entry["right_ms"] =
+          !end ? nlohmann::json(nullptr)
+          : endless
+              ? nlohmann::json("endless")
+              : nlohmann::json(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(*end - now).count());
+    }
+    groups.push_back(std::move(entry));
+  }
+  return out.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/agent_messages.cpp
@@ -0,0 +1,140 @@
+#include <algorithm>
+#include <ranges>
+
+#include "internal/agent_state.h"
+
+namespace masticshunt::ownership {
+namespace {
+
+/// Returns the group of a message about one group, or nothing.
+std::optional<group_name> group_in(const message& body) {
+  return std::visit(
+      [](const auto& typed) -> std::optional<group_name> {
+        if constexpr (requires { typed.group.service; }) return typed.group;
+        return std::nullopt;
+      },
+      body);
+}
+
+/// Returns the sequence of the page that the sender holds; zero if the message does not say.
+std::uint64_t sequence_in(const message& body) {
+  return std::visit(
+      [](const auto& typed) -> std::uint64_t {
+        if constexpr (requires { typed.sequence; }) return typed.sequence;
+        return 0;
+      },
+      body);
+}
+
+std::vector<stored_record> records_of(const std::vector<store_object>& objects) {
+  std::vector<stored_record> result;
+  std::ranges::transform(objects, std::back_inserter(result), [](const store_object& object) {
+    return stored_record{object.name, object.version, object.value};
+  });
+  return result;
+}
+
+}  // namespace
+
+void agent_core::state::handle(const message_received& what, step& step) {
+  std::visit(
+      [&](const auto& typed) {
+        if constexpr (requires { this->on(typed, what.from, step); }) on(typed, what.from, step);
+      },
+      what.body);
+  const auto name = group_in(what.body);
+  auto* host = name ? find_group(*name) : nullptr;
+  if (host == nullptr) return;
+  if (sequence_in(what.body) > host->page().sequence) {
+    step.send(what.from, page_request{*name, host->page().sequence});
+  }
+  const auto before = host->page().version;
+  host->handle(what.body, what.from, invariants, step);
+  page_changed(*host, before, step);
+}
+
+void agent_core::state::on(const page_update& body, const endpoint& /*from*/, step& step) {
+  if (body.page.version == 0 || !ranges_are_contiguous(body.page)) return;
+  adopt(body.page, step);
+}
+
+void agent_core::state::on(const page_request& body, const endpoint& from, step& step) {
+  const auto* host = find_group(body.group);
+  if (host == nullptr || host->page().sequence <= body.sequence) return;
+  step.send(from, page_update{host->page()});
+}
+
+void agent_core::state::on(const records_update& body, const endpoint& /*from*/, step& step) {
+  take_records(body.records, body.revision, body.complete, step);
+}
+
+void agent_core::state::on(const renew_reply& body, const endpoint& /*from*/, step& step) {
+  const auto* host = own();
+  if (host == nullptr || body.group != host->name()) return;
+  leases.handle(body, host->page().sequence, step);
+}
+
+void agent_core::state::on(const release_request& body, const endpoint& /*from*/, step& step) {
+  if (own_group == body.group) leases.handle(body, step);
+}
+
+void agent_core::state::on(const renew_request& body, const endpoint& from, step& step) {
+  const auto* host = find_group(body.group);
+  if (host == nullptr || !host->renews()) return;
+  if (body.config_digest != records.digest()) step.send(from, records.everything());
+}
+
+void agent_core::state::handle(const store_read_done& what, step& step) {
+  const auto call = end_call(what.call);
+  if (!call) return;
+  reading.erase(call->group);
+  auto& [next_read, delays] = read_delays[call->group];
+  failure reason;
+  const auto page = what.object ? page_from_object(*what.object, reason) : std::nullopt;
+  if (!page) {
+    next_read = step.now + delays.next_delay(jitter);
+    return;
+  }
+  delays.reset();
+  auto& host = group(call->group);
+  const auto before = host.page().version;
+  host.read_for_support(*page, call->sent, invariants, step);
+  page_changed(host, before, step);
+}
+
+void agent_core::state::handle(const store_write_done& what, step& step) {
+  const auto call = end_call(what.call);
+  if (!call) return;
+  auto& host = group(call->group);
+  const auto before = host.page().version;
+  if (host.answered(what, jitter, invariants, step)) read_page(call->group, step);
+  page_changed(host, before, step);
+}
+
+void agent_core::state::handle(const store_list_done& what, step& step) {
+  const auto call = end_call(what.call);
+  if (!call) return;
+  const bool of_groups =
+      call->purpose == call_purpose::list_groups || call->purpose == call_purpose::watch_groups;
+  auto& reader = of_groups ? group_reader : record_reader;
+  const bool first = call->purpose == reader.list;
+  reader.waiting = false;
+  if (!what.objects) {
+    reader.next_try = step.now + reader.delays.next_delay(jitter);
+    return;
+  }
+  reader.delays.reset();
+  reader.listed = true;
+  reader.revision = std::max(reader.revision, what.revision);
+  reader.next_try = step.now;
+  if (!of_groups) {
+    take_records(records_of(*what.objects), what.revision, first, step);
+    return;
+  }
+  failure reason;
+  for (const auto& object : *what.objects) {
+    if (const auto page = page_from_object(object, reason)) adopt(*page, step);
+  }
+}
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/agent_state.cpp
@@ -0,0 +1,282 @@
+#include "internal/agent_state.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr duration join_interval = std::chrono::milliseconds{300};
+constexpr duration refresh_interval = std::chrono::seconds{2};
+constexpr duration stop_patience = std::chrono::seconds{10};
+constexpr duration outsider_patience_proved = std::chrono::milliseconds{1000};
+constexpr duration outsider_patience_blind = std::chrono::seconds{10};
+constexpr duration start_spread = std::chrono::milliseconds{50};
+
+}  // namespace
+
+agent_core::state::state(core_settings given)
+    : settings(std::move(given)),
+      self(settings.self),
+      records(settings.faults),
+      leases(settings.self, settings.timing, settings.faults),
+      jitter(settings.seed) {
+  group_reader.prefix = "groups/";
+  group_reader.list = call_purpose::list_groups;
+  group_reader.watch = call_purpose::watch_groups;
+  record_reader.prefix = "config/";
+  record_reader.list = call_purpose::list_records;
+  record_reader.watch = call_purpose::watch_records;
+}
+
+store_call_id agent_core::state::start_call(call_purpose purpose, const group_name& group,
+                                            time_point now) {
+  calls[next_call] = {purpose, group, now};
+  return next_call++;
+}
+
+std::optional<pending_call> agent_core::state::end_call(store_call_id call) {
+  const auto found = calls.find(call);
+  if (found == calls.end()) return std::nullopt;
+  auto ended = found->second;
+  calls.erase(found);
+  return ended;
+}
+
+group_host& agent_core::state::group(const group_name& name) {
+  const auto found = groups.find(name);
+  if (found != groups.end()) return found->second;
+  return groups.emplace(name, group_host(self, settings.timing, settings.faults, name))
+      .first->second;
+}
+
+group_host* agent_core::state::find_group(const group_name& name) {
+  const auto found = groups.find(name);
+  return found == groups.end() ? nullptr : &found->second;
+}
+
+group_host* agent_core::state::own() {
+  return own_group ? &group(*own_group) : nullptr;
+}
+
+group_intent agent_core::state::intent_of(const group_name& name) const {
+  const auto service = records.registry().service(name.service);
+  const bool moves = service && service->isolation == configuration::isolation_policy::move;
+  return {moves, [this](const agent_description& agent) {
+            return records.registry().drained(agent.id.name, agent.failure_domain);
+          }};
+}
+
+owner_report agent_core::state::report() const {
+  return {records.digest(), records.revision(), busy_slots};
+}
+
+bool agent_core::state::coordinates_any() const {
+  return std::ranges::any_of(groups | std::views::values, &group_host::coordinates);
+}
+
+bool agent_core::state::drained() const {
+  if (settings.faults.drain_ignored) return false;
+  return records.registry().drained(self.id.name, self.failure_domain);
+}
+
+std::uint32_t agent_core::state::groups_of(const std::string& service) const {
+  const auto record = records.registry().service(service);
+  return record ? std::max(record->groups, 1U) : 1U;
+}
+
+void agent_core::state::observe_time(time_point now) {
+  leases.observe_time(now);
+  const bool paused = last_event != time_point{} && now - last_event > settings.timing.pause_limit;
+  last_event = std::max(last_event, now);
+  if (!paused) return;
+  for (auto& group : groups | std::views::values) group.forgive_silence(now);
+  renewer_heard = now;
+}
+
+void agent_core::state::handle(const started& /*what*/, step& step) {
+  renewer_heard = step.now;
+  group_reader.next_try = step.now + jitter.next_up_to(start_spread);
+  record_reader.next_try = step.now + jitter.next_up_to(start_spread);
+  outsider_patience = jitter.next_up_to(outsider_patience_proved);
+  tick(step);
+}
+
+void agent_core::state::handle(const timer_fired& /*what*/, step& step) {
+  tick(step);
+}
+
+void agent_core::state::tick(step& step) {
+  read_prefix(record_reader, step);
+  read_prefix(group_reader, step);
+  tick_groups(step);
+  tick_own_group(step);
+  refresh_pages(step);
+  finish_stopping(step);
+  step.out.push_back(wake_at{step.now + settings.timing.tick});
+}
+
+void agent_core::state::tick_groups(step& step) {
+  for (auto& [name, host] : groups) {
+    if (host.tick(intent_of(name), invariants, step)) read_page(name, step);
+    const auto write = host.writer().due(next_call, step.now);
+    if (!write) continue;
+    static_cast<void>(start_call(call_purpose::write, name, step.now));
+    step.out.push_back(*write);
+  }
+}
+
+void agent_core::state::read_page(const group_name& name, step& step) {
+  const auto delay = read_delays.find(name);
+  if (delay != read_delays.end() && step.now < delay->second.first) return;
+  if (!reading.insert(name).second) return;
+  const auto call = start_call(call_purpose::read, name, step.now);
+  step.out.push_back(store_read{call, page_object_name(name)});
+}
+
+void agent_core::state::read_prefix(prefix_reader& reader, step& step) {
+  if (reader.waiting || step.now < reader.next_try) return;
+  if (reader.listed && !coordinates_any()) return;
+  reader.waiting = true;
+  const auto call = start_call(reader.listed ? reader.watch : reader.list, {}, step.now);
+  store_list list{call, reader.prefix, {}};
+  if (reader.listed) list.after_revision = reader.revision;
+  step.out.push_back(std::move(list));
+}
+
+void agent_core::state::tick_own_group(step& step) {
+  auto* host = own();
+  if (host == nullptr || !group_reader.listed) return;
+  update_leaving(step);
+  if (self.upstream && !stopping) join(*host, step);
+  if (host->page().version != 0) leases.tick(host->page(), report(), step);
+}
+
+void agent_core::state::join(group_host& host, step& step) {
+  if (host.page().version == 0) {
+    const auto service = records.registry().service(host.name().service);
+    const std::uint32_t for_each = service ? service->ranges_per_member : 16;
+    host.create(groups_of(host.name().service), for_each * settings.expected_members, step.now);
+    return;
+  }
+  const auto& page = host.page();
+  if (!host.renews()) {
+    const bool proved = std::ranges::any_of(page.renewers, [&](const renewer_record& record) {
+      return record.id.name == self.id.name && record.id.incarnation < self.id.incarnation;
+    });
+    const duration patience =
+        (proved ? outsider_patience_proved : outsider_patience_blind) + outsider_patience;
+    if (step.now - std::max(renewer_heard, leases.last_answer()) > patience) {
+      host.take_over_from_outside(step.now);
+      renewer_heard = step.now;
+    }
+  }
+  const auto* member = find_member(page, self.id.name);
+  const bool is_member = member != nullptr && *member == self;
+  if (is_member || leases.leaving() || step.now < next_join) return;
+  next_join = step.now + join_interval;
+  const join_request request{host.name(), self};
+  if (host.renews()) host.handle(request, self.control, invariants, step);
+  for (const auto& renewer : page.renewers) {
+    if (!renewer.withdrawn && renewer.control != self.control) {
+      step.send(renewer.control, request);
+    }
+  }
+}
+
+void agent_core::state::update_leaving(step& step) {
+  leases.vacate(stopping || drained() || !self.upstream, step);
+}
+
+void agent_core::state::refresh_pages(step& step) {
+  if (step.now < next_refresh) return;
+  next_refresh = step.now + refresh_interval;
+  for (const auto& [name, host] : groups) {
+    if (host.renews() || host.page().version == 0 || host.page().renewers.empty()) continue;
+    step.send(host.page().renewers.front().control, page_request{name, host.page().sequence});
+  }
+}
+
+void agent_core::state::finish_stopping(step& step) {
+  if (!stopping || stopped_said) return;
+  const bool owns = std::ranges::any_of(groups | std::views::values, [&](const auto& host) {
+    return owns_any(host.page(), self.id);
+  });
+  const bool renews = std::ranges::any_of(groups | std::views::values, &group_host::renews);
+  if ((owns || renews) && step.now < stop_deadline) return;
+  stopped_said = true;
+  step.out.push_back(stopped{});
+}
+
+void agent_core::state::publish(const message& body, step& step) {
+  std::set<endpoint> targets;
+  for (const auto& host : groups | std::views::values) {
+    if (!host.coordinates()) continue;
+    for (const auto& member : host.page().members) targets.insert(member.control);
+    for (const auto& renewer : host.page().renewers) targets.insert(renewer.control);
+  }
+  targets.erase(self.control);
+  for (const auto& target : targets) step.send(target, body);
+}
+
+void agent_core::state::adopt(const assignment_page& page, step& step) {
+  auto& host = group(name_of(page));
+  const auto before = host.page().version;
+  host.adopt(page, invariants, step);
+  page_changed(host, before, step);
+}
+
+void agent_core::state::page_changed(group_host& host, std::uint64_t version_before, step& step) {
+  if (host.page().version == version_before) return;
+  if (own_group == host.name()) {
+    leases.page_adopted(host.page(), report(), step);
+    renewer_heard = step.now;
+  }
+  publish(page_update{host.page()}, step);
+}
+
+void agent_core::state::take_records(const std::vector<stored_record>& given,
+                                     std::uint64_t revision, bool complete, step& step) {
+  auto newer = records.take(given, revision, complete, invariants, step);
+  if (newer.empty()) return;
+  for (const auto& [name, incarnation] : records.lost_agents()) {
+    for (auto& host : groups | std::views::values) host.note_ended(name, incarnation, step.now);
+  }
+  publish(records_update{revision, false, std::move(newer)}, step);
+}
+
+void agent_core::state::handle(const upstream_announced& what, step& step) {
+  self.upstream = what.upstream;
+  const group_name name{what.upstream.service,
+                        group_of_agent(self.id.name, groups_of(what.upstream.service))};
+  if (!own_group) own_group = name;
+  leases.describe_self(self);
+  for (auto& host : groups | std::views::values) host.describe_self(self);
+  tick_own_group(step);
+}
+
+void agent_core::state::handle(const upstream_lost& /*what*/, step& step) {
+  self.upstream.reset();
+  leases.describe_self(self);
+  for (auto& host : groups | std::views::values) host.describe_self(self);
+  if (auto* host = own()) leases.abandon(host->page(), report(), step);
+}
+
+void agent_core::state::handle(const load_observed& what, step& /*step*/) {
+  busy_slots = what.busy_slots;
+}
+
+void agent_core::state::handle(const stop_requested& /*what*/, step& step) {
+  if (stopping) return;
+  stopping = true;
+  stop_deadline = step.now + stop_patience;
+  for (auto& host : groups | std::views::values) host.set_leaving(true);
+  update_leaving(step);
+  tick(step);
+}
+
+void agent_core::state::handle(const range_quiet& what, step& step) {
+  if (auto* host = own()) leases.range_quiet(what.range, host->page(), report(), step);
+}
+
+}  // namespace masticshunt::ownership
--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -48,8 +48,7 @@
   return since && now >= *since + bounds_.for_giver(timing_.lease);
 }
 
-void coordinator::page_adopted(const assignment_page& page, const renewer& rights,
-                               time_point now) {
+void coordinator::page_adopted(const assignment_page& page, const renewer& rights, time_point now) {
   for (const auto& member : page.members) {
     if (member.id.incarnation > 0) note_ended(member.id.name, member.id.incarnation - 1, now);
   }
@@ -161,10 +160,11 @@
   const auto seen = withdrawn_seen_.find(record.appointment);
   if (seen == withdrawn_seen_.end()) return std::nullopt;
   const auto known = rights.known_sequence(record.appointment);
-  if (known < rights.appointment()) return std::nullopt;
+  if (record.alone && known < rights.appointment()) return std::nullopt;
   time_point end = seen->second + bounds_.for_giver(timing_.store_support);
   end = std::max(end, rights.last_support_end(record.appointment));
-  const bool needs_all = page.move_since > 0 && known >= page.move_since;
+  const bool needs_all =
+      page.move_since > 0 && known >= std::max(page.move_since, rights.appointment());
   if (needs_all) return end;
   for (const auto& other : page.renewers) {
     if (other.appointment == record.appointment || other.appointment == rights.appointment()) {
@@ -183,6 +183,26 @@
   return end;
 }
 
+bool coordinator::can_prove_end(const assignment_page& page, const renewer_record& record,
+                                const renewer& rights, time_point now) const {
+  if (ended_since(record.id)) return true;
+  const auto known = rights.known_sequence(record.appointment);
+  if (record.alone && known < rights.appointment()) return false;
+  if (page.move_since > 0 && known >= std::max(page.move_since, rights.appointment())) return true;
+  return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
+    return other.appointment == record.appointment || other.appointment == rights.appointment() ||
+           ended_since(other.id) ||
+           now - rights.heard_renewer(other.appointment) <= timing_.renewer_silence;
+  });
+}
+
+std::vector<std::uint64_t> coordinator::active_stops() const {
+  std::vector<std::uint64_t> numbers;
+  std::ranges::transform(changes_ | std::views::values, std::back_inserter(numbers),
+                         &owner_change::number);
+  return numbers;
+}
+
 bool coordinator::renewer_ended(const assignment_page& page, const renewer_record& record,
                                 const renewer& rights, time_point now) const {
   if (evidence_ended(record.id, now)) return true;
@@ -211,17 +231,19 @@
 }
 
 void coordinator::tick(const assignment_page& page, const renewer& rights,
-                       const group_intent& intent, step& step) {
-  demand_stops(page, rights, step);
+                       const group_intent& intent, bool may_take_back, step& step) {
+  demand_stops(page, rights, may_take_back, step);
   demand_releases(page, intent, step);
 }
 
-void coordinator::demand_stops(const assignment_page& page, const renewer& rights, step& step) {
+void coordinator::demand_stops(const assignment_page& page, const renewer& rights,
+                               bool may_take_back, step& step) {
   std::set<agent_id> owners;
   for (const auto& entry : page.ranges) owners.insert(entry.owner);
   for (const auto& owner : owners) {
-    const bool wanted = suspect(owner, step.now);
     const auto found = changes_.find(owner);
+    const bool stands = found != changes_.end() && !may_take_back;
+    const bool wanted = stands || suspect(owner, step.now);
     if (!wanted && found == changes_.end()) continue;
     if (wanted && found == changes_.end()) {
       changes_[owner] = {next_number_++, page.owner_changes, {}, {}};
@@ -233,8 +255,8 @@
     for (const auto& other : page.renewers) {
       if (other.appointment == rights.appointment()) continue;
       if (wanted && change.words.contains(other.appointment)) continue;
-      step.send(other.control, stop_request{name_of(page), page.epoch, number, owner, change.up_to,
-                                            wanted});
+      step.send(other.control,
+                stop_request{name_of(page), page.epoch, number, owner, change.up_to, wanted});
     }
     if (!wanted) changes_.erase(owner);
   }
@@ -363,6 +385,7 @@
     const bool lost = now - std::max(rights.heard_renewer(record.appointment), tenure_since_) >
                       timing_.renewer_silence;
     if (!lost && !leaving && !ended_since(record.id)) continue;
+    if (!can_prove_end(page, record, rights, now)) continue;
     record.withdrawn = true;
     changed = true;
   }
@@ -371,6 +394,10 @@
     return record.id != self_.id && known != nullptr && known->withdrawn &&
            renewer_ended(page, *known, rights, now) && withdrawal_known(page, *known);
   });
+  const bool is_alone = next.renewers.size() == 1;
+  auto& own = next.renewers.front();
+  changed |= own.alone != is_alone && page.renewers.size() == next.renewers.size();
+  if (page.renewers.size() > 1 || is_alone) own.alone = is_alone;
   if (self_leaving_ && hand_over_tenure(next, now)) return true;
   return appoint(next, now) || changed || dropped > 0;
 }
@@ -408,8 +435,7 @@
     if (best == nullptr || score(member) > score(*best)) best = &member;
   }
   if (best == nullptr) return false;
-  next.renewers.push_back(
-      {best->id, best->control, best->failure_domain, false, next.sequence});
+  next.renewers.push_back({best->id, best->control, best->failure_domain, false, next.sequence});
   const auto first_withdrawn = std::ranges::stable_partition(next.renewers, serving);
   static_cast<void>(first_withdrawn);
   return true;
@@ -470,7 +496,7 @@
   assignment_page next = page;
   ++next.sequence;
   ++next.epoch;
-  next.renewers.front().withdrawn = true;
+  next.renewers.front().withdrawn |= can_prove_end(page, first, rights, now);
   const auto place =
       std::ranges::find(next.renewers, rights.appointment(), &renewer_record::appointment);
   std::rotate(next.renewers.begin(), place, std::next(place));
--- /dev/null
+++ b/src/decisions/ownership/internal/agent_state.h
@@ -0,0 +1,117 @@
+/// @file
+/// The state of an agent's decisions, and its handlers.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "masticshunt/decisions/ownership/group_host.h"
+#include "masticshunt/decisions/ownership/owner.h"
+#include "masticshunt/decisions/ownership/page.h"
+#include "masticshunt/decisions/ownership/record_feed.h"
+#include "masticshunt/decisions/ownership/step.h"
+
+namespace masticshunt::ownership {
+
+/// Why a store call was made.
+enum class call_purpose { list_groups, list_records, watch_groups, watch_records, read, write };
+
+/// A store call that has not been answered yet.
+struct pending_call {
+  call_purpose purpose = call_purpose::read;
+  group_name group;
+  time_point sent;
+};
+
+/// A list or watch of one prefix that goes on for as long as it is wanted.
+struct prefix_reader {
+  std::string prefix;
+  call_purpose list = call_purpose::list_groups;
+  call_purpose watch = call_purpose::watch_groups;
+  bool listed = false;   ///< The first list has succeeded.
+  bool waiting = false;  ///< A call is under way.
+  std::uint64_t revision = 0;
+  time_point next_try{};
+  backoff delays;
+};
+
+/// Everything an agent's decisions remember.
+struct agent_core::state {
+  explicit state(core_settings given);
+
+  void handle(const started& what, step& step);
+  void handle(const timer_fired& what, step& step);
+  void handle(const message_received& what, step& step);
+  void handle(const store_read_done& what, step& step);
+  void handle(const store_write_done& what, step& step);
+  void handle(const store_list_done& what, step& step);
+  void handle(const upstream_announced& what, step& step);
+  void handle(const upstream_lost& what, step& step);
+  void handle(const load_observed& what, step& step);
+  void handle(const stop_requested& what, step& step);
+  void handle(const range_quiet& what, step& step);
+
+  void on(const page_update& body, const endpoint& from, step& step);
+  void on(const page_request& body, const endpoint& from, step& step);
+  void on(const records_update& body, const endpoint& from, step& step);
+  void on(const renew_reply& body, const endpoint& from, step& step);
+  void on(const release_request& body, const endpoint& from, step& step);
+  void on(const renew_request& body, const endpoint& from, step& step);
+
+  void observe_time(time_point now);
+  void tick(step& step);
+  void tick_groups(step& step);
+  void tick_own_group(step& step);
+  void join(group_host& group, step& step);
+  void read_prefix(prefix_reader& reader, step& step);
+  void refresh_pages(step& step);
+  void finish_stopping(step& step);
+  void read_page(const group_name& name, step& step);
+  void adopt(const assignment_page& page, step& step);
+  void page_changed(group_host& group, std::uint64_t version_before, step& step);
+  void take_records(const std::vector<stored_record>& records, std::uint64_t revision,
+                    bool complete, step& step);
+  void publish(const message& body, step& step);
+  void update_leaving(step& step);
+
+  [[nodiscard]] store_call_id start_call(call_purpose purpose, const group_name& group,
+                                         time_point now);
+  [[nodiscard]] std::optional<pending_call> end_call(store_call_id call);
+  [[nodiscard]] group_host& group(const group_name& name);
+  [[nodiscard]] group_host* find_group(const group_name& name);
+  [[nodiscard]] group_host* own();
+  [[nodiscard]] group_intent intent_of(const group_name& name) const;
+  [[nodiscard]] owner_report report() const;
+  [[nodiscard]] bool coordinates_any() const;
+  [[nodiscard]] bool drained() const;
+  [[nodiscard]] std::uint32_t groups_of(const std::string& service) const;
+
+  core_settings settings;
+  agent_description self;
+  std::map<group_name, group_host> groups;
+  std::optional<group_name> own_group;
+  record_feed records;
+  owner leases;
+  invariant_counters invariants;
+  jitter_source jitter;
+  std::map<store_call_id, pending_call> calls;
+  store_call_id next_call = 1;
+  prefix_reader group_reader;
+  prefix_reader record_reader;
+  std::set<group_name> reading;
+  std::map<group_name, std::pair<time_point, backoff>> read_delays;
+  double busy_slots = 0;
+  time_point last_event{};
+  time_point next_join{};
+  time_point next_refresh{};
+  time_point renewer_heard{};
+  duration outsider_patience{};
+  bool stopping = false;
+  bool stopped_said = false;
+  time_point stop_deadline{};
+};
+
+}  // namespace masticshunt::ownership
--- a/src/decisions/ownership/internal/json_codec.h
+++ b/src/decisions/ownership/internal/json_codec.h
@@ -75,7 +75,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(range_assignment, range, owner, token,
                                                 had_earlier_owner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(renewer_record, id, control, failure_domain,
-                                                withdrawn, appointment)
+                                                withdrawn, appointment, alone)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(assignment_page, service, group, version, epoch,
                                                 renewers, members, ranges, sequence, owner_changes,
                                                 move_since, schema_floor, write_id)
@@ -93,7 +93,7 @@
                                                 granted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(release_request, group, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(support_request, group, appointment, request,
-                                                sequence)
+                                                sequence, epoch, next_stop, active_stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(support_reply, group, appointment, supporter,
                                                 request, sequence, supported)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_request, group, epoch, number, owner, up_to,
@@ -101,7 +101,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_reply, group, epoch, number, appointment,
                                                 owner, ends_in, heard_ago)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stored_record, name, version, value)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(records_update, revision, records)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(records_update, revision, complete, records)
 
 }  // namespace ownership
 }  // namespace masticshunt
--- a/src/decisions/ownership/owner.cpp
+++ b/src/decisions/ownership/owner.cpp
@@ -21,7 +21,6 @@
   last_seen_ = std::max(last_seen_, now);
   if (!paused) return;
   ++pauses_;
-  if (faults_.pause_lease_kept) return;
   for (auto& [first, entry] : held_) entry.lease_end = time_point{};
   next_renewal_ = now;
 }
@@ -160,7 +159,8 @@
   if (after == held_.begin()) return std::nullopt;
   const auto& entry = std::prev(after)->second;
   if (!entry.assignment.range.contains(hash) || entry.state != phase::held) return std::nullopt;
-  if (entry.lease_end <= now || !entry.owned_since) return std::nullopt;
+  const bool in_force = entry.lease_end > now || faults_.lease_end_unchecked;
+  if (!in_force || !entry.owned_since) return std::nullopt;
   return admission_ticket{entry.assignment.range, entry.assignment.token, entry.lease_end,
                           *entry.owned_since};
 }
--- /dev/null
+++ b/src/decisions/ownership/page_writer.cpp
@@ -0,0 +1,46 @@
+#include "masticshunt/decisions/ownership/page_writer.h"
+
+#include "masticshunt/decisions/ownership/page.h"
+
+namespace masticshunt::ownership {
+
+void page_writer::start(assignment_page next, std::uint64_t expected, std::string write_id,
+                        time_point now) {
+  next_ = std::move(next);
+  next_->write_id = std::move(write_id);
+  expected_ = expected;
+  waiting_ = false;
+  retry_at_ = now;
+}
+
+std::optional<store_write> page_writer::due(store_call_id call, time_point now) {
+  if (!next_ || waiting_ || now < retry_at_) return std::nullopt;
+  waiting_ = true;
+  return store_write{call, page_object_name(name_of(*next_)), expected_, to_value(*next_)};
+}
+
+page_writer::fate page_writer::answered(const store_write_done& answer, jitter_source& jitter,
+                                        time_point now) {
+  waiting_ = false;
+  if (!next_) return fate::lost;
+  if (answer.version) {
+    backoff_.reset();
+    next_->version = *answer.version;
+    return fate::took_effect;
+  }
+  if (answer.reason.kind == failure_kind::conflict) {
+    retry_at_ = now + backoff_.next_delay(jitter);
+    return fate::must_read;
+  }
+  retry_at_ = now + backoff_.next_delay(jitter);
+  return fate::pending;
+}
+
+page_writer::fate page_writer::page_seen(const assignment_page& page) {
+  if (!next_ || page.version <= expected_) return fate::pending;
+  const bool is_ours = page.write_id == next_->write_id;
+  next_.reset();
+  return is_ours ? fate::took_effect : fate::lost;
+}
+
+}  // namespace masticshunt::ownership
--- /dev/null
+++ b/src/decisions/ownership/record_feed.cpp
@@ -0,0 +1,76 @@
+#include "masticshunt/decisions/ownership/record_feed.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ranges>
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr std::string_view lost_prefix = "config/lost/";
+
+std::uint64_t hash_of(const stored_record& record) {
+  return hash_of_key(record.name + "@" + std::to_string(record.version));
+}
+
+}  // namespace
+
+bool record_feed::take_one(const stored_record& record, invariant_counters& invariants,
+                           step& step) {
+  auto& known = records_[record.name];
+  if (record.version <= known.version && !faults_.records_revert) return false;
+  if (record.version == known.version) return false;
+  if (!faults_.records_revert) {
+    invariants.check(record.version > known.version, "record_versions_rise");
+  }
+  if (known.version != 0) digest_ ^= hash_of(known);
+  known = record;
+  digest_ ^= hash_of(known);
+  registry_.apply(record.name, record.version, record.value);
+  step.out.push_back(record_in_force{{record.name, record.version, record.value}});
+  return true;
+}
+
+std::vector<stored_record> record_feed::take(const std::vector<stored_record>& records,
+                                             std::uint64_t revision, bool complete,
+                                             invariant_counters& invariants, step& step) {
+  std::vector<stored_record> newer;
+  for (const auto& record : records) {
+    if (take_one(record, invariants, step)) newer.push_back(record);
+  }
+  if (!complete || revision < revision_) return newer;
+  std::vector<stored_record> deletions;
+  for (const auto& known : records_ | std::views::values) {
+    const bool listed =
+        std::ranges::find(records, known.name, &stored_record::name) != records.end();
+    if (!listed && known.version < revision && !known.value.empty()) {
+      deletions.push_back({known.name, revision, {}});
+    }
+  }
+  for (const auto& deletion : deletions) {
+    if (take_one(deletion, invariants, step)) newer.push_back(deletion);
+  }
+  revision_ = std::max(revision_, revision);
+  return newer;
+}
+
+records_update record_feed::everything() const {
+  records_update update{revision_, false, {}};
+  std::ranges::copy(records_ | std::views::values, std::back_inserter(update.records));
+  return update;
+}
+
+std::map<std::string, std::uint64_t> record_feed::lost_agents() const {
+  std::map<std::string, std::uint64_t> lost;
+  for (const auto& record : records_ | std::views::values) {
+    if (!record.name.starts_with(lost_prefix) || record.value.empty()) continue;
+    const auto body = nlohmann::json::parse(record.value, nullptr, false);
+    if (!body.is_object()) continue;
+    const auto incarnation = body.find("incarnation");
+    if (incarnation == body.end() || !incarnation->is_number_unsigned()) continue;
+    lost[record.name.substr(lost_prefix.size())] = incarnation->get<std::uint64_t>();
+  }
+  return lost;
+}
+
+}  // namespace masticshunt::ownership
--- a/src/decisions/ownership/renewer.cpp
+++ b/src/decisions/ownership/renewer.cpp
@@ -53,7 +53,8 @@
   return end == time_point{} ? std::nullopt : std::optional{end};
 }
 
-bool renewer::tick(const assignment_page& page, step& step) {
+bool renewer::tick(const assignment_page& page, std::uint64_t next_stop,
+                   const std::vector<std::uint64_t>& active_stops, step& step) {
   const auto* own = find_appointment(page, appointment_);
   if (own == nullptr || step.now < next_heartbeat_) return false;
   next_heartbeat_ = step.now + timing_.support_interval;
@@ -62,8 +63,8 @@
   while (sent_.size() > requests_remembered) sent_.erase(sent_.begin());
   for (const auto& other : page.renewers) {
     if (other.appointment == appointment_) continue;
-    step.send(other.control,
-              support_request{name_of(page), appointment_, request, page.sequence});
+    step.send(other.control, support_request{name_of(page), appointment_, request, page.sequence,
+                                             page.epoch, next_stop, active_stops});
   }
   if (own->withdrawn) return false;
   const auto end = right_end(page);
@@ -90,6 +91,7 @@
 
 void renewer::page_adopted(const assignment_page& page, step& step) {
   std::erase_if(promises_, [&](const auto& entry) {
+    if (entry.second.epoch != page.epoch) return true;
     return std::ranges::none_of(page.ranges, [&](const range_assignment& range) {
       return range.owner == entry.first && range.token.sequence <= entry.second.up_to;
     });
@@ -142,9 +144,15 @@
   const auto* asking = find_appointment(page, request.appointment);
   if (asking == nullptr) return;
   note_renewer(request.appointment, request.sequence, step.now);
+  if (is_coordinator(page, asking->id) && request.epoch == page.epoch) {
+    std::erase_if(promises_, [&](const auto& entry) {
+      return entry.second.number < request.next_stop &&
+             std::ranges::find(request.active_stops, entry.second.number) ==
+                 request.active_stops.end();
+    });
+  }
   const auto* own = find_appointment(page, appointment_);
-  const bool supported =
-      !asking->withdrawn && own != nullptr && (!own->withdrawn || page.move_since == 0);
+  const bool supported = !asking->withdrawn && own != nullptr && !own->withdrawn;
   if (supported) {
     auto& given = peer_of(request.appointment).given_until;
     given = std::max(given, step.now + bounds_.for_giver(timing_.support));
@@ -164,17 +172,21 @@
   until = std::max(until, request->second + bounds_.for_holder(timing_.support));
 }
 
-void renewer::handle(const stop_request& request, const endpoint& from,
-                     const assignment_page& page, step& step) {
+void renewer::handle(const stop_request& request, const endpoint& from, const assignment_page& page,
+                     step& step) {
   if (request.epoch != page.epoch) return;
   auto& known = promises_[request.owner];
   if (std::pair(request.epoch, request.number) < std::pair(known.epoch, known.number)) return;
   known = {request.epoch, request.number, request.up_to, request.active};
   if (!request.active) return;
-  stop_reply reply{name_of(page), request.epoch, request.number, appointment_, request.owner,
-                   bounds_.for_giver(
-                       std::max(last_grant_end(request.owner) - step.now, duration{})),
-                   {}};
+  stop_reply reply{
+      name_of(page),
+      request.epoch,
+      request.number,
+      appointment_,
+      request.owner,
+      bounds_.for_giver(std::max(last_grant_end(request.owner) - step.now, duration{})),
+      {}};
   if (const auto last = heard(request.owner)) reply.heard_ago = step.now - *last;
   step.send(from, reply);
 }
--- /dev/null
+++ b/tests/decisions/ownership/agent_core_test.cpp
@@ -0,0 +1,129 @@
+#include "masticshunt/decisions/ownership/agent_core.h"
+
+#include <algorithm>
+
+#include "expect.h"
+#include "soak/judge.h"
+
+namespace {
+
+using namespace masticshunt;
+using namespace masticshunt::testing;
+
+/// A fleet of six agents whose keys are all served, and its judge.
+struct settled_fleet {
+  explicit settled_fleet(fleet_settings settings = {}) : agents(std::move(settings)) {
+    agents.start_all();
+    agents.run_for(seconds{4});
+    expect_equal(verdict.served_share(), 1.0, "all keys are served after 4 s");
+    verdict.forget_gaps();
+  }
+  std::size_t coordinator() const {
+    return *agents.index_of(agents.stored_page()->renewers.front().id.name);
+  }
+  std::size_t owner_only() const {
+    const auto page = agents.stored_page();
+    for (std::size_t index = 0; index < agents.nodes.size(); ++index) {
+      if (ownership::find_renewer(*page, {agents.nodes[index].name, 1}) == nullptr) return index;
+    }
+    return 0;
+  }
+  void expect_no_violation() const {
+    expect_false(verdict.violation().has_value(), verdict.violation().value_or(""));
+  }
+  duration longest_gap() const {
+    const auto gaps = verdict.gaps();
+    return gaps.empty() ? duration{} : std::ranges::max(gaps);
+  }
+
+  fleet agents;
+  judge verdict{agents};
+};
+
+constexpr duration one_loss_bound = seconds{3};
+
+}  // namespace
+
+Test(agent_core, serves_every_key_after_a_cold_start) {
+  settled_fleet run;
+  run.expect_no_violation();
+}
+
+Test(agent_core, serves_the_keys_of_a_lost_owner_again_within_three_seconds) {
+  settled_fleet run;
+  run.agents.crash(run.owner_only());
+  run.agents.run_for(seconds{6});
+  expect_equal(run.verdict.served_share(), 1.0);
+  expect_true(run.longest_gap() <= one_loss_bound);
+  run.expect_no_violation();
+}
+
+Test(agent_core, serves_the_keys_of_a_lost_coordinator_again_within_three_seconds) {
+  settled_fleet run;
+  run.agents.crash(run.coordinator());
+  run.agents.run_for(seconds{6});
+  expect_equal(run.verdict.served_share(), 1.0);
+  expect_true(run.longest_gap() <= one_loss_bound);
+  run.expect_no_violation();
+}
+
+Test(agent_core, keeps_living_owners_serving_through_an_hour_without_store_and_coordinator) {
+  settled_fleet run;
+  run.agents.sky.store_down = true;
+  run.agents.run_for(seconds{60});
+  expect_equal(run.verdict.served_share(), 1.0);
+  run.agents.crash(run.coordinator());
+  const auto page = run.agents.stored_page();
+  run.agents.run_for(seconds{3540});
+  const auto lost = static_cast<double>(std::ranges::count(page->ranges, page->renewers.front().id,
+                                                           &ownership::range_assignment::owner)) /
+                    static_cast<double>(page->ranges.size());
+  expect_true(run.verdict.served_share() >= 1 - 2 * lost, "only the lost agent's keys wait");
+  const auto gaps = run.verdict.gaps();
+  expect_true(std::ranges::all_of(gaps, [](duration gap) { return gap > seconds{3000}; }),
+              "keys of living owners have no gap");
+  run.expect_no_violation();
+}
+
+Test(agent_core, hands_over_everything_when_asked_to_stop) {
+  settled_fleet run;
+  const auto leaving = run.coordinator();
+  run.agents.deliver(leaving, ownership::stop_requested{});
+  run.agents.run_for(seconds{6});
+  expect_true(run.agents.nodes[leaving].stopped);
+  expect_false(ownership::owns_any(*run.agents.stored_page(), {run.agents.nodes[leaving].name, 1}));
+  expect_equal(run.verdict.served_share(), 1.0);
+  run.expect_no_violation();
+}
+
+Test(agent_core, gives_a_drained_upstream_no_new_work_after_three_seconds) {
+  settled_fleet run;
+  const auto drained = run.owner_only();
+  const configuration::record order{
+      1, configuration::drain_record{run.agents.nodes[drained].name, run.agents.nodes[drained].name,
+                                     ""}};
+  run.agents.store.put(configuration::object_name(order), configuration::to_value(order));
+  run.agents.run_for(seconds{3});
+  std::size_t tickets = 0;
+  for (std::uint64_t step = 0; step < 256; ++step) {
+    auto& one = run.agents.nodes[drained];
+    if (one.core->admit("viewer", step << 56U, one.local(run.agents.now))) ++tickets;
+  }
+  expect_equal(tickets, 0U);
+  expect_false(run.agents.nodes[drained].core->accepts_callers());
+  run.agents.run_for(seconds{3});
+  expect_equal(run.verdict.served_share(), 1.0);
+  run.expect_no_violation();
+}
+
+Test(agent_core, routes_every_key_to_its_owner) {
+  settled_fleet run;
+  for (std::uint64_t step = 0; step < 64; ++step) {
+    const key_hash hash = step << 58U;
+    const auto route = run.agents.nodes[0].core->route("viewer", hash);
+    expect_true(route.has_value());
+    const auto owner = run.agents.index_of(route->owner.id.name);
+    auto& one = run.agents.nodes[*owner];
+    expect_true(one.core->admit("viewer", hash, one.local(run.agents.now)).has_value());
+  }
+}
