Measure the request policies against a naive version in virtual time

Cause: admission had no figures; a limit that grew by one a window queued work in the upstream. Change: tools/policy_bench.cpp runs both deployments' sizes through the gate and a naive version on the same traces; the gradient limit grows by trials that must raise the throughput and learns the light-load latency with weights.

--- a/include/masticshunt/decisions/requests/concurrency_limit.h
+++ b/include/masticshunt/decisions/requests/concurrency_limit.h
@@ -37,9 +37,11 @@
 
 /// Adapts a concurrency limit to latency, attempts in flight and shed answers.
 ///
-/// Observations are gathered in windows. At the end of a saturated window the mean latency is
-/// compared with the mean under light load, which is measured whenever the load is light and, under
-/// lasting saturation, in short windows with half of the limit.
+/// Observations are gathered in windows. The gradient algorithm compares the mean latency of a
+/// saturated window with the mean under light load, which is measured whenever the load is light
+/// and, under lasting saturation, in short probes with a lower limit. It shrinks to the
+/// concurrency that the latency betrays. It grows by trials: a step up stays if the throughput
+/// rises with it; a failed trial doubles the pause until the next.
 /// Thread safety: none.
 class concurrency_limit {
  public:
@@ -49,26 +51,38 @@
   void observe(const limit_sample& sample);
 
   /// Returns the attempts that may be in flight now.
-  [[nodiscard]] double value() const { return probing_ ? limit_ / 2 : limit_; }
+  [[nodiscard]] double value() const { return phase_ == phase::probe ? probe_limit() : limit_; }
 
  private:
+  enum class phase { steady, probe, trial };
   struct class_latency {
     double sum = 0;
     double count = 0;
-    double light = 0;  ///< Mean under light load; zero if unknown.
+    double light = 0;          ///< Mean under light load.
+    double light_samples = 0;  ///< How much the mean under light load rests on.
   };
-  using window_end = void (concurrency_limit::*)(double latency_ratio);
+  using window_end = void (concurrency_limit::*)();
 
   void end_window();
-  void end_fixed(double latency_ratio);
-  void end_additive(double latency_ratio);
-  void end_gradient(double latency_ratio);
-  void learn_light_latency(double weight);
+  void end_fixed();
+  void end_additive();
+  void end_gradient();
+  void end_trial();
+  void end_saturated();
+  void learn_light_latency();
   void schedule_probe();
+  void start_trial();
   void start_window();
+  /// Returns the mean latency as a multiple of the mean under light load.
   [[nodiscard]] double latency_ratio() const;
+  /// Returns the throughput as the attempts that would be in flight without queueing.
+  [[nodiscard]] double throughput() const;
+  [[nodiscard]] double probe_limit() const;
   [[nodiscard]] bool window_is_full() const;
-  [[nodiscard]] bool saturated() const;
+  [[nodiscard]] bool is_saturated() const;
+  [[nodiscard]] bool is_light() const;
+  [[nodiscard]] bool sheds() const;
+  [[nodiscard]] bool light_is_unknown() const;
   void set_limit(double limit);
 
   limit_settings settings_;
@@ -78,8 +92,12 @@
   double in_flight_sum_ = 0;
   double shed_ = 0;
   double timed_out_ = 0;
-  bool probing_ = false;
-  std::uint32_t windows_since_probe_ = 0;
+  phase phase_ = phase::steady;
+  std::uint32_t windows_until_probe_;
+  std::uint32_t windows_until_trial_;
+  std::uint32_t trial_pause_;
+  double limit_before_trial_ = 0;
+  double reference_throughput_ = 0;
 };
 
 }  // namespace masticshunt::requests
--- a/src/decisions/requests/concurrency_limit.cpp
+++ b/src/decisions/requests/concurrency_limit.cpp
@@ -2,29 +2,46 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <limits>
 
 namespace masticshunt::requests {
 
 namespace {
 
 constexpr double window_samples_per_slot = 32;
-constexpr double probe_samples_per_slot = 8;
-constexpr std::uint32_t windows_between_probes = 30;
+constexpr double trial_samples_per_slot = 128;
+constexpr double probe_samples_per_slot = 16;
+constexpr std::uint32_t windows_between_probes = 40;
+constexpr std::uint32_t windows_before_first_probe = 4;
+constexpr double probe_share = 2.0 / 3;
 constexpr double light_load_share = 0.6;
-constexpr double saturated_share = 0.85;
-constexpr double light_latency_weight = 0.2;
-constexpr double queue_low = 0.1;   // share of the limit
-constexpr double queue_high = 0.2;  // share of the limit
+constexpr double saturated_share = 0.9;
+constexpr double light_samples_known = 32;
+constexpr double light_samples_max = 1'024;
+constexpr double latency_ratio_counted_max = 10;
+constexpr double throughput_weight = 0.3;
+constexpr double queue_share_max = 0.25;
+constexpr double shrink_margin = 1.05;
+constexpr double trial_step_share = 1.0 / 6;
+constexpr double trial_gain_share = 0.5;
+constexpr std::uint32_t trial_pause_min = 4;
+constexpr std::uint32_t trial_pause_max = 64;
 constexpr double additive_latency_ratio_max = 1.5;
 constexpr double additive_decrease = 0.9;
 constexpr double shed_decrease = 0.9;
-constexpr double timeout_decrease = 0.7;
 constexpr double shed_share_max = 0.01;
+constexpr double timeout_decrease = 0.7;
 
 }  // namespace
 
 concurrency_limit::concurrency_limit(limit_settings settings)
-    : settings_(settings), limit_(settings.start), classes_(settings.latency_classes) {}
+    : settings_(settings),
+      limit_(settings.start),
+      classes_(std::max<std::size_t>(settings.latency_classes, 1)),
+      windows_until_probe_(windows_before_first_probe),
+      windows_until_trial_(trial_pause_min),
+      trial_pause_(trial_pause_min) {}
 
 void concurrency_limit::observe(const limit_sample& sample) {
   samples_ += 1;
@@ -33,7 +50,10 @@
   if (sample.result == attempt_result::timed_out) timed_out_ += 1;
   if (sample.result == attempt_result::answered) {
     class_latency& observed = classes_[std::min(sample.latency_class, classes_.size() - 1)];
-    observed.sum += static_cast<double>(sample.latency.count());
+    const double highest = observed.light_samples < light_samples_known
+                               ? std::numeric_limits<double>::max()
+                               : observed.light * latency_ratio_counted_max;
+    observed.sum += std::min(static_cast<double>(sample.latency.count()), highest);
     observed.count += 1;
   }
   if (window_is_full()) end_window();
@@ -43,56 +63,101 @@
   constexpr std::array<window_end, 3> rules{&concurrency_limit::end_fixed,
                                             &concurrency_limit::end_additive,
                                             &concurrency_limit::end_gradient};
-  if (probing_) {
-    learn_light_latency(1);
-    probing_ = false;
-  } else if (timed_out_ > samples_ / 2) {
-    if (settings_.algorithm != limit_algorithm::fixed) set_limit(limit_ * timeout_decrease);
+  const bool adapts = settings_.algorithm != limit_algorithm::fixed;
+  if (adapts && timed_out_ > samples_ / 2) {
+    phase_ = phase::steady;
+    set_limit(limit_ * timeout_decrease);
   } else {
-    if (in_flight_sum_ < samples_ * limit_ * light_load_share)
-      learn_light_latency(light_latency_weight);
-    (this->*rules[static_cast<std::size_t>(settings_.algorithm)])(latency_ratio());
+    (this->*rules[static_cast<std::size_t>(settings_.algorithm)])();
   }
   start_window();
 }
 
-void concurrency_limit::end_fixed(double /*latency_ratio*/) {}
+void concurrency_limit::end_fixed() {}
 
-void concurrency_limit::end_additive(double latency_ratio) {
-  if (shed_ > samples_ * shed_share_max || latency_ratio > additive_latency_ratio_max) {
-    set_limit(limit_ * additive_decrease);
-  } else if (saturated()) {
+void concurrency_limit::end_additive() {
+  if (phase_ == phase::probe || is_light()) learn_light_latency();
+  if (phase_ == phase::probe) {
+    phase_ = phase::steady;
+    return;
+  }
+  if (sheds() || latency_ratio() > additive_latency_ratio_max) {
+    set_limit(std::min(limit_ - 1, limit_ * additive_decrease));
+  } else if (is_saturated()) {
     set_limit(limit_ + 1);
   }
   schedule_probe();
 }
 
-void concurrency_limit::end_gradient(double latency_ratio) {
-  if (shed_ > samples_ * shed_share_max) {
-    set_limit(limit_ * shed_decrease);
-  } else if (saturated()) {
-    const double queued = limit_ * (1 - 1 / std::max(latency_ratio, 1.0));
-    if (queued > limit_ * queue_high) set_limit(limit_ - queued / 2);
-    if (queued < limit_ * queue_low) set_limit(limit_ + 1);
+void concurrency_limit::end_gradient() {
+  if (phase_ == phase::trial) return end_trial();
+  if (phase_ == phase::probe) {
+    learn_light_latency();
+    phase_ = phase::steady;
+    return;
+  }
+  if (is_light()) learn_light_latency();
+  if (sheds()) {
+    set_limit(std::min(limit_ - 1, limit_ * shed_decrease));
+    trial_pause_ = std::min(trial_pause_ * 2, trial_pause_max);
+    windows_until_trial_ = trial_pause_;
+  } else if (is_saturated()) {
+    end_saturated();
   }
   schedule_probe();
 }
 
-void concurrency_limit::learn_light_latency(double weight) {
+void concurrency_limit::end_saturated() {
+  if (light_is_unknown()) return;
+  const double ratio = std::max(latency_ratio(), 1.0);
+  if (1 - 1 / ratio > queue_share_max) {
+    set_limit(limit_ / ratio * shrink_margin);
+    reference_throughput_ = 0;
+    windows_until_probe_ = windows_before_first_probe;
+    return;
+  }
+  const double weight = reference_throughput_ == 0 ? 1 : throughput_weight;
+  reference_throughput_ += (throughput() - reference_throughput_) * weight;
+  if (windows_until_trial_ > 0) --windows_until_trial_;
+  if (windows_until_trial_ == 0) start_trial();
+}
+
+void concurrency_limit::start_trial() {
+  limit_before_trial_ = limit_;
+  set_limit(limit_ + std::max(1.0, std::ceil(limit_ * trial_step_share)));
+  if (limit_ > limit_before_trial_) phase_ = phase::trial;
+}
+
+void concurrency_limit::end_trial() {
+  phase_ = phase::steady;
+  const double gain_wanted = 1 + trial_gain_share * (limit_ / limit_before_trial_ - 1);
+  if (!sheds() && throughput() >= reference_throughput_ * gain_wanted) {
+    trial_pause_ = trial_pause_min;
+    windows_until_trial_ = 1;
+  } else {
+    set_limit(limit_before_trial_);
+    trial_pause_ = std::min(trial_pause_ * 2, trial_pause_max);
+    windows_until_trial_ = trial_pause_;
+  }
+  reference_throughput_ = 0;
+}
+
+void concurrency_limit::learn_light_latency() {
   for (class_latency& observed : classes_) {
     if (observed.count == 0) continue;
+    observed.light_samples += observed.count;
     const double mean = observed.sum / observed.count;
-    observed.light = observed.light == 0 ? mean : observed.light + (mean - observed.light) * weight;
+    observed.light += (mean - observed.light) * observed.count / observed.light_samples;
+    observed.light_samples = std::min(observed.light_samples, light_samples_max);
   }
 }
 
 void concurrency_limit::schedule_probe() {
-  const bool light_unknown = std::ranges::any_of(
-      classes_, [](const class_latency& each) { return each.count > 0 && each.light == 0; });
-  windows_since_probe_ = saturated() ? windows_since_probe_ + 1 : 0;
-  if (!saturated() || (!light_unknown && windows_since_probe_ < windows_between_probes)) return;
-  windows_since_probe_ = 0;
-  probing_ = true;
+  if (!is_saturated() || phase_ != phase::steady) return;
+  if (windows_until_probe_ > 0) --windows_until_probe_;
+  if (windows_until_probe_ > 0) return;
+  windows_until_probe_ = light_is_unknown() ? 1 : windows_between_probes;
+  phase_ = phase::probe;
 }
 
 void concurrency_limit::start_window() {
@@ -104,25 +169,54 @@
   double observed_total = 0;
   double light_total = 0;
   for (const class_latency& observed : classes_) {
-    if (observed.light == 0) continue;
+    if (observed.light_samples < light_samples_known) continue;
     observed_total += observed.sum;
     light_total += observed.light * observed.count;
   }
   return light_total > 0 ? observed_total / light_total : 1;
 }
 
+double concurrency_limit::throughput() const {
+  return samples_ > 0 ? in_flight_sum_ / samples_ / latency_ratio() : 0;
+}
+
 bool concurrency_limit::window_is_full() const {
-  const double per_slot = probing_ ? probe_samples_per_slot : window_samples_per_slot;
+  constexpr std::array<double, 3> samples_per_slot{window_samples_per_slot, probe_samples_per_slot,
+                                                   trial_samples_per_slot};
+  const double per_slot = samples_per_slot[static_cast<std::size_t>(phase_)];
   return samples_ >= std::max(limit_ * per_slot, per_slot);
 }
 
-bool concurrency_limit::saturated() const {
+bool concurrency_limit::is_saturated() const {
   return in_flight_sum_ >= samples_ * limit_ * saturated_share;
 }
 
+bool concurrency_limit::is_light() const {
+  return in_flight_sum_ < samples_ * limit_ * light_load_share;
+}
+
+bool concurrency_limit::sheds() const {
+  return shed_ > samples_ * shed_share_max;
+}
+
+bool concurrency_limit::light_is_unknown() const {
+  double known = 0;
+  double all = 0;
+  for (const class_latency& each : classes_) {
+    all += each.count;
+    if (each.light_samples >= light_samples_known) known += each.count;
+  }
+  return known < all / 2;
+}
+
+double concurrency_limit::probe_limit() const {
+  return std::max(1.0, std::floor(limit_ * probe_share));
+}
+
 void concurrency_limit::set_limit(double limit) {
-  const double low = std::max(1.0, settings_.start / settings_.shrink_max);
-  limit_ = std::clamp(limit, low, std::max(low, settings_.start * settings_.growth_max));
+  const double low = std::max(1.0, std::round(settings_.start / settings_.shrink_max));
+  const double high = std::max(low, settings_.start * settings_.growth_max);
+  limit_ = std::clamp(std::round(limit), low, high);
 }
 
 }  // namespace masticshunt::requests
--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -197,7 +197,9 @@
 
 bool gate::state::waited_too_long(const attempt_entry& entry, time_point now) const {
   if (settings.discipline != queue_discipline::controlled_delay) return false;
-  const duration bound = times(ranks[entry.rank].service.median(), wait_services_max);
+  const duration service = ranks[entry.rank].service.median();
+  const duration bound =
+      std::max(settings.ranks[entry.rank].target - service, times(service, wait_services_max));
   return has_lasting_backlog(entry.rank, now) && now - entry.offered_at > bound;
 }
 
--- /dev/null
+++ b/tools/policy_bench.cpp
@@ -0,0 +1,280 @@
+/// @file
+/// Compares the request policies with a naive version on the same traces in virtual time.
+///
+///     policy_bench --seed 1 [--csv FILE]
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <new>
+#include <string>
+#include <vector>
+
+#include "decisions/requests/virtual_time/policy_run.h"
+
+namespace {
+
+std::uint64_t allocations = 0;
+
+}  // namespace
+
+[[gnu::noinline]] void* operator new(std::size_t bytes) {
+  ++allocations;
+  if (void* memory = std::malloc(bytes)) return memory;
+  throw std::bad_alloc{};
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+[[gnu::noinline]] void operator delete(void* memory, std::size_t /*bytes*/) noexcept {
+  std::free(memory);
+}
+
+namespace {
+
+using namespace masticshunt;
+using namespace masticshunt::testing;
+
+struct options {
+  std::uint64_t seed = 1;
+  std::string csv;
+  bool variants = false;
+};
+
+/// One line of the table.
+struct figure_row {
+  std::string where;
+  std::string run;
+  std::string policy;
+  run_result result;
+  double goodput = 0;
+};
+
+/// Collects lines "target, figure, pass or fail".
+class verdicts {
+ public:
+  /// Checks that `figure` is at most, or at least, `bound`.
+  void at_most(const std::string& name, double figure, double bound) {
+    add(name, "<=", figure, bound, figure <= bound);
+  }
+  void at_least(const std::string& name, double figure, double bound) {
+    add(name, ">=", figure, bound, figure >= bound);
+  }
+  /// Returns the targets missed.
+  [[nodiscard]] int missed() const { return missed_; }
+
+ private:
+  void add(const std::string& name, const char* relation, double figure, double bound, bool kept) {
+    std::printf("%-72s %s %-8.4g %10.4g  %s\n", name.c_str(), relation, bound, figure,
+                kept ? "pass" : "FAIL");
+    if (!kept) ++missed_;
+  }
+
+  int missed_ = 0;
+};
+
+double milliseconds_of(duration length) {
+  return std::chrono::duration<double, std::milli>(length).count();
+}
+
+std::vector<scenario> scenarios(const deployment& where) {
+  const auto flood = [&](std::uint32_t rank) { return 10 / where.ranks[rank].demand; };
+  return {{.name = "quiet"},
+          {.name = "flood-least", .load_factor = {1, 1, flood(least_rank)}},
+          {.name = "flood-most", .load_factor = {flood(urgent_rank), 1, 1}},
+          {.name = "target-lost", .what = fault::target_lost},
+          {.name = "target-frozen", .what = fault::target_frozen},
+          {.name = "target-lying", .what = fault::target_lying},
+          {.name = "key-stalled", .what = fault::key_stalled}};
+}
+
+std::vector<policy_set> policy_sets(bool variants) {
+  std::vector<policy_set> sets;
+  sets.push_back(product_policies());
+  sets.push_back(naive_policies());
+  if (!variants) return sets;
+  using requests::gate_settings;
+  using requests::limit_algorithm;
+  using requests::queue_discipline;
+  sets.push_back(product_policies("oldest-first", [](gate_settings& settings) {
+    settings.discipline = queue_discipline::oldest_first;
+  }));
+  sets.push_back(product_policies("controlled-delay", [](gate_settings& settings) {
+    settings.discipline = queue_discipline::controlled_delay;
+  }));
+  sets.push_back(product_policies("newest-first", [](gate_settings& settings) {
+    settings.discipline = queue_discipline::newest_first;
+  }));
+  sets.push_back(product_policies(
+      "limit-fixed", [](gate_settings& settings) { settings.algorithm = limit_algorithm::fixed; }));
+  sets.push_back(product_policies("limit-additive", [](gate_settings& settings) {
+    settings.algorithm = limit_algorithm::additive;
+  }));
+  sets.push_back(product_policies("limit-gradient", [](gate_settings& settings) {
+    settings.algorithm = limit_algorithm::gradient;
+  }));
+  return sets;
+}
+
+void print_row(figure_row& row) {
+  std::printf("%-9s %-14s %-16s", row.where.c_str(), row.run.c_str(), row.policy.c_str());
+  for (rank_result& rank : row.result.ranks) {
+    const double share = static_cast<double>(rank.served) /
+                         static_cast<double>(std::max<std::uint64_t>(rank.offered, 1));
+    const bool none = rank.latencies.empty();
+    std::printf(" |%7.1f %8.1f %6.1f%%", none ? 0 : milliseconds_of(rank.percentile(0.5)),
+                none ? 0 : milliseconds_of(rank.percentile(0.99)), 100 * share);
+  }
+  std::printf(" | %6.1f%% %7.3f\n", 100 * row.goodput, row.result.retry_share());
+}
+
+void print_header() {
+  std::printf("%-9s %-14s %-16s", "", "", "");
+  for (int rank = 0; rank < 3; ++rank) std::printf(" | rank %d                ", rank);
+  std::printf(" |\n%-9s %-14s %-16s", "service", "run", "policy");
+  for (int rank = 0; rank < 3; ++rank) std::printf(" | p50 ms   p99 ms  served");
+  std::printf(" | goodput retries\n");
+}
+
+void write_csv(const std::string& path, std::vector<figure_row>& rows) {
+  std::ofstream out(path);
+  out << "service,run,policy,rank,offered,served,p50_ms,p99_ms,goodput,retries_per_request\n";
+  for (figure_row& row : rows) {
+    for (std::size_t rank = 0; rank < rank_count; ++rank) {
+      rank_result& figures = row.result.ranks[rank];
+      out << row.where << ',' << row.run << ',' << row.policy << ',' << rank << ','
+          << figures.offered << ',' << figures.served << ','
+          << milliseconds_of(figures.percentile(0.5)) << ','
+          << milliseconds_of(figures.percentile(0.99)) << ',' << row.goodput << ','
+          << row.result.retry_share() << '\n';
+    }
+  }
+}
+
+using row_index = std::map<std::string, figure_row*>;
+
+/// Checks the targets of one deployment against the product's rows.
+void judge(const deployment& where, row_index& rows, verdicts& all) {
+  const auto p99 = [&](const std::string& run, std::uint32_t rank) {
+    return milliseconds_of(rows.at(run)->result.ranks[rank].percentile(0.99));
+  };
+  const std::string prefix = where.name + ": ";
+  all.at_most(prefix + "urgent p99, 10x flood of the least urgent / quiet",
+              p99("flood-least", urgent_rank) / p99("quiet", urgent_rank), 1.2);
+  const double seconds = 8;
+  for (std::uint32_t rank = urgent_rank + 1; rank < rank_count; ++rank) {
+    const rank_load& load = where.ranks[rank];
+    const double due = std::min(load.demand, load.floor) * where.capacity() * seconds;
+    all.at_least(prefix + "share of min(demand, floor) kept by " + load.name +
+                     ", 10x flood of the most urgent",
+                 rows.at("flood-most")->result.ranks[rank].served_work / due, 0.95);
+  }
+  all.at_least(prefix + "goodput / capacity, 10x flood of the least urgent",
+               rows.at("flood-least")->goodput, 0.95);
+  all.at_least(prefix + "goodput / capacity, 10x flood of the most urgent",
+               rows.at("flood-most")->goodput, 0.95);
+  for (const auto& [run, row] : rows)
+    all.at_most(prefix + "retries per first attempt, " + run, row->result.retry_share(), 0.1);
+  for (std::uint32_t rank = 0; rank < rank_count; ++rank)
+    all.at_most(prefix + "p99 of " + where.ranks[rank].name + ", one stalled key / without",
+                p99("key-stalled", rank) / p99("quiet", rank), 1.1);
+}
+
+/// Measures the time and the allocations of admission decisions in steady state.
+void judge_cost(const deployment& where, verdicts& all) {
+  constexpr int warm_up = 20'000;
+  constexpr int rounds = 400'000;
+  requests::gate subject(gate_settings_of(where));
+  requests::gate_actions actions;
+  actions.reserve(8'192);
+  std::vector<requests::attempt_id> running;
+  running.reserve(1'024);
+  draws random{1};
+  requests::request_descriptor request;
+  std::vector<std::string> callers;
+  for (int i = 0; i < 40; ++i) callers.push_back("caller-" + std::to_string(i));
+  std::uint64_t allocations_before = 0;
+  std::chrono::steady_clock::time_point began;
+  std::uint64_t decisions = 0;
+  for (int round = 0; round < warm_up + rounds; ++round) {
+    if (round == warm_up) {
+      allocations_before = allocations;
+      began = std::chrono::steady_clock::now();
+    }
+    const time_point now{std::chrono::microseconds{500} * round};
+    request.attempt = static_cast<requests::attempt_id>(round) + 1;
+    request.hash = random.below(20'000);
+    request.caller = callers[random.below(callers.size())];
+    request.rank = static_cast<std::uint32_t>(random.below(rank_count));
+    request.deadline = now + std::chrono::seconds{1};
+    actions.clear();
+    subject.offer(request, now, actions);
+    if (running.size() >= where.slots) {
+      std::swap(running[random.below(running.size())], running.back());
+      subject.finished(running.back(), requests::attempt_result::answered, now, actions);
+      running.pop_back();
+      if (round >= warm_up) ++decisions;
+    }
+    if (round >= warm_up) ++decisions;
+    for (const auto& action : actions)
+      if (const auto* start = std::get_if<requests::start_attempt>(&action))
+        running.push_back(start->attempt);
+  }
+  const auto spent = std::chrono::steady_clock::now() - began;
+  const std::uint64_t allocated = allocations - allocations_before;
+  const double each =
+      std::chrono::duration<double, std::nano>(spent).count() / static_cast<double>(decisions);
+  all.at_most(where.name + ": ns for an admission decision, mean", each, 1'000);
+  all.at_most(where.name + ": allocations for an admission decision",
+              static_cast<double>(allocated) / static_cast<double>(decisions), 0);
+}
+
+std::vector<figure_row> run_all(const options& given) {
+  std::vector<figure_row> rows;
+  print_header();
+  for (const deployment& where : {imhof(), llyfrnod()}) {
+    for (const scenario& run : scenarios(where)) {
+      const trace requests = make_trace(where, run, given.seed);
+      for (const policy_set& policies : policy_sets(given.variants)) {
+        policy_run simulation(where, run, requests, policies, given.seed);
+        rows.push_back({where.name, run.name, policies.name, simulation.run()});
+        rows.back().goodput = rows.back().result.goodput(where, run);
+        print_row(rows.back());
+      }
+    }
+  }
+  return rows;
+}
+
+int bench(const options& given) {
+  std::vector<figure_row> rows = run_all(given);
+  if (!given.csv.empty()) write_csv(given.csv, rows);
+  verdicts all;
+  std::printf("\n%-72s target      figure\n", "target");
+  for (const deployment& where : {imhof(), llyfrnod()}) {
+    row_index product;
+    for (figure_row& row : rows)
+      if (row.where == where.name && row.policy == "masticshunt") product[row.run] = &row;
+    judge(where, product, all);
+    judge_cost(where, all);
+  }
+  std::printf("%d targets missed\n", all.missed());
+  return all.missed() == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  options given;
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  for (std::size_t i = 0; i < arguments.size(); ++i) {
+    if (arguments[i] == "--variants") given.variants = true;
+    if (i + 1 == arguments.size()) continue;
+    if (arguments[i] == "--seed") given.seed = std::stoull(arguments[i + 1]);
+    if (arguments[i] == "--csv") given.csv = arguments[i + 1];
+  }
+  return bench(given);
+}
