--- /dev/null
+++ b/src/decisions/ownership/hot_keys.cpp
@@ -0,0 +1,108 @@
+#include "masticshunt/decisions/ownership/hot_keys.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace masticshunt::ownership {
+
+namespace {
+
+constexpr double growth_max = 0x1p40;
+
+}  // namespace
+
+hot_keys::hot_keys(hot_keys_settings settings) : settings_(settings) {
+  settings_.capacity = std::max<std::size_t>(settings_.capacity, 1);
+  heap_.reserve(settings_.capacity);
+  places_.reserve(settings_.capacity);
+}
+
+double hot_keys::growth(time_point now) const {
+  const auto age = static_cast<double>((now - origin_).count());
+  return std::exp2(age / static_cast<double>(settings_.half_life.count()));
+}
+
+void hot_keys::scale_down(time_point now) {
+  const double factor = 1 / growth(now);
+  for (auto& held : heap_) {
+    held.weight *= factor;
+    held.error *= factor;
+  }
+  total_ *= factor;
+  origin_ = now;
+}
+
+void hot_keys::record(key_hash hash, double weight, time_point now) {
+  if (!std::exchange(started_, true)) origin_ = now;
+  if (growth(now) > growth_max) scale_down(now);
+  const double grown = weight * growth(now);
+  total_ += grown;
+  const auto known = places_.find(hash);
+  if (known != places_.end()) {
+    heap_[known->second].weight += grown;
+    sink(known->second);
+    return;
+  }
+  if (heap_.size() < settings_.capacity) {
+    heap_.push_back({hash, grown, 0});
+    places_[hash] = heap_.size() - 1;
+    rise(heap_.size() - 1);
+    return;
+  }
+  auto& least = heap_.front();
+  places_.erase(least.hash);
+  places_[hash] = 0;
+  least = {hash, least.weight + grown, least.weight};
+  sink(0);
+}
+
+void hot_keys::swap(std::size_t left, std::size_t right) {
+  std::swap(heap_[left], heap_[right]);
+  places_[heap_[left].hash] = left;
+  places_[heap_[right].hash] = right;
+}
+
+void hot_keys::sink(std::size_t place) {
+  for (;;) {
+    std::size_t least = place;
+    for (std::size_t child = 2 * place + 1; child <= 2 * place + 2; ++child) {
+      if (child < heap_.size() && heap_[child].weight < heap_[least].weight) least = child;
+    }
+    if (least == place) return;
+    swap(place, least);
+    place = least;
+  }
+}
+
+void hot_keys::rise(std::size_t place) {
+  while (place != 0 && heap_[place].weight < heap_[(place - 1) / 2].weight) {
+    swap(place, (place - 1) / 2);
+    place = (place - 1) / 2;
+  }
+}
+
+std::vector<hot_key> hot_keys::hottest(std::size_t count, time_point now) const {
+  std::vector<hot_key> keys;
+  keys.reserve(heap_.size());
+  const double factor = 1 / growth(now);
+  for (const auto& held : heap_) {
+    const double certain = held.weight - held.error;
+    keys.push_back(
+        {held.hash, held.weight * factor, held.error * factor, total_ > 0 ? certain / total_ : 0});
+  }
+  std::ranges::sort(keys, std::ranges::greater{}, &hot_key::share);
+  keys.resize(std::min(count, keys.size()));
+  return keys;
+}
+
+double hot_keys::total_weight(time_point now) const {
+  return total_ / growth(now);
+}
+
+std::size_t hot_keys::bytes() const {
+  constexpr std::size_t map_entry_bytes = 32;  // A node and its bucket.
+  return heap_.capacity() * sizeof(counter) + places_.size() * map_entry_bytes;
+}
+
+}  // namespace masticshunt::ownership
