Add the upstream stand-in with faults on request

Change: masticshunt/upstream/stand_in.h and run_stand_in; every run is recorded, so that checks can judge at most once, one owner at a time and false 'not run'.

--- /dev/null
+++ b/src/upstream/internal/stand_in_state.h
@@ -0,0 +1,85 @@
+/// @file
+/// What a stand-in knows: faults, fences, runs and counts, without any I/O.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "masticshunt/upstream/stand_in.h"
+
+namespace masticshunt::upstream {
+
+/// A request as the stand-in judges it.
+struct stand_in_request {
+  std::string method;
+  std::string service;
+  std::string key;
+  std::string identity;
+  std::string request_id;
+  std::string rank;
+  std::optional<fence_token> fence;
+  std::optional<std::chrono::milliseconds> time_left;
+  std::uint64_t answer_bytes = 0;  ///< Zero: the answer is the JSON receipt.
+  std::uint64_t body_bytes = 0;
+  std::uint64_t body_hash = 0;
+};
+
+/// Returns the fence in `text` ("<epoch>.<sequence>"), or nothing if it is malformed.
+std::optional<fence_token> parse_fence(std::string_view text);
+
+/// Returns the JSON form of `records`.
+std::string to_json(const std::vector<run_record>& records);
+
+/// The shared state of one stand-in.
+///
+/// Thread safety: all members lock the one mutex; nothing is called while it is held.
+class stand_in_state {
+ public:
+  explicit stand_in_state(const stand_in_settings& settings);
+
+  /// Returns the faults in force.
+  [[nodiscard]] stand_in_faults faults() const;
+  /// Replaces the faults.
+  void set_faults(const stand_in_faults& faults);
+
+  /// Returns true if the request's fence is stale, and remembers the fence otherwise.
+  bool refuse_fence(const stand_in_request& request);
+  /// Returns true if the request is to be shed by the fault in force.
+  bool refuse_by_shedding();
+  /// Returns how long the request runs.
+  std::chrono::microseconds draw_service_time(const stand_in_request& request);
+
+  /// Records the start of a run and returns its number, or 0 if it is not recorded.
+  std::uint64_t begin_run(const stand_in_request& request, const endpoint& upstream,
+                          time_point now);
+  /// Records the end of a run.
+  void end_run(std::uint64_t number, run_end how, time_point now);
+  /// Ends all runs as lost and forgets the fences. The incarnation rises.
+  void lose_everything(time_point now);
+
+  /// Counts one request that was shed, or refused as late, or whose body was cut.
+  void count_shed();
+  void count_late();
+  void count_cut_body();
+
+  [[nodiscard]] std::uint64_t incarnation() const;
+  [[nodiscard]] std::vector<run_record> records() const;
+  [[nodiscard]] stand_in_counts counts() const;
+
+ private:
+  const stand_in_settings settings_;
+  mutable std::mutex mutex_;
+  stand_in_faults faults_;
+  std::mt19937_64 random_;
+  std::map<std::string, fence_token> fences_;  ///< Highest fence seen by key.
+  std::vector<run_record> records_;
+  std::vector<std::uint64_t> running_;  ///< Numbers of recorded runs that have not ended.
+  stand_in_counts counts_;
+  std::uint64_t incarnation_;
+};
+
+}  // namespace masticshunt::upstream
--- /dev/null
+++ b/src/upstream/stand_in_connection.cpp
@@ -0,0 +1,391 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/support/clock.h"
+#include "upstream/internal/stand_in_hash.h"
+#include "upstream/internal/stand_in_server.h"
+
+namespace masticshunt::upstream {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable_t<strand_executor>{});
+
+std::string_view to_view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || text.empty()) return {};
+  return value;
+}
+
+std::uint64_t query_number(std::string_view query, std::string_view name) {
+  const auto place = query.find(std::string(name) + "=");
+  if (place == std::string_view::npos) return 0;
+  return parse_number(query.substr(place + name.size() + 1)).value_or(0);
+}
+
+bool is_control_target(std::string_view target) {
+  return target.starts_with("/stand-in/");
+}
+
+std::string receipt(const stand_in_request& request, const endpoint& upstream) {
+  const nlohmann::json body = {{"request_id", request.request_id},
+                               {"identity", request.identity},
+                               {"method", request.method},
+                               {"key", request.key},
+                               {"body_bytes", request.body_bytes},
+                               {"body_xxh64", to_hexadecimal(request.body_hash)},
+                               {"upstream", upstream}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::string to_hexadecimal(std::uint64_t value) {
+  constexpr std::string_view digits = "0123456789abcdef";
+  std::string text(16, '0');
+  for (auto place = text.rbegin(); place != text.rend(); ++place, value >>= 4) {
+    *place = digits[value & 15];
+  }
+  return text;
+}
+
+void fill_answer_block(std::string_view request_id, std::vector<char>& block) {
+  std::uint64_t state = hash_of_key(request_id);
+  for (auto& byte : block) {
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    byte = static_cast<char>(state >> 56);
+  }
+}
+
+stand_in_request describe(const stand_in_parser& parser) {
+  const auto& header = parser.get();
+  stand_in_request request;
+  request.method = to_view(header.method_string());
+  std::string_view target = to_view(header.target());
+  const auto question = target.find('?');
+  if (question != std::string_view::npos) {
+    request.answer_bytes = query_number(target.substr(question), "answer_bytes");
+    target = target.substr(0, question);
+  }
+  if (target.starts_with('/')) target.remove_prefix(1);
+  const auto slash = target.find('/');
+  request.service = target.substr(0, slash);
+  if (slash != std::string_view::npos) {
+    target.remove_prefix(slash + 1);
+    request.key = target.substr(0, target.find('/'));
+  }
+  request.identity = to_view(header["Idempotency-Key"]);
+  request.request_id = to_view(header["X-Request-Id"]);
+  request.rank = to_view(header["Masticshunt-Rank"]);
+  request.fence = parse_fence(to_view(header["Masticshunt-Fence"]));
+  if (const auto left = parse_number(to_view(header["Masticshunt-Deadline-Ms"]))) {
+    request.time_left = std::chrono::milliseconds(*left);
+  }
+  return request;
+}
+
+/// Gives the slot back when the run ends, however it ends.
+class stand_in::implementation::slot {
+ public:
+  slot(implementation& server, std::uint64_t life) : server_(server), life_(life) {}
+  ~slot() { server_.release_slot(life_); }
+  slot(const slot&) = delete;
+  slot& operator=(const slot&) = delete;
+
+ private:
+  implementation& server_;
+  std::uint64_t life_;
+};
+
+bool stand_in::implementation::alive(const connection_ptr& connection) const {
+  return connection->life == life_;
+}
+
+bool stand_in::implementation::silent(const connection_ptr& connection) const {
+  return connection->number <= silent_up_to_;
+}
+
+stand_in::implementation::awaitable<void> stand_in::implementation::serve(
+    connection_ptr connection) {
+  const auto self = shared_from_this();
+  while (alive(connection)) {
+    const bool go_on = co_await serve_one(connection);
+    if (!go_on) break;
+  }
+  if (!alive(connection)) co_return;
+  boost::system::error_code ignored;
+  connection->socket.close(ignored);
+  connections_.erase(connection);
+  --open_;
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::serve_one(
+    connection_ptr connection) {
+  stand_in_parser parser;
+  parser.body_limit(boost::none);
+  auto [error, count] =
+      co_await http::async_read_header(connection->socket, connection->buffer, parser, as_result);
+  if (error || !alive(connection)) co_return false;
+  const std::string_view target = to_view(parser.get().target());
+  if (!is_control_target(target)) co_await pass_faults(connection);
+  if (!alive(connection)) co_return false;
+  if (is_control_target(target) || target == "/health" || target == "/load") {
+    co_return co_await control(connection, parser);
+  }
+  co_return co_await run(connection, parser);
+}
+
+stand_in::implementation::awaitable<void> stand_in::implementation::pass_faults(
+    connection_ptr connection) {
+  while (alive(connection) && (frozen_ || silent(connection))) {
+    if (silent(connection)) {
+      co_await connection->hold.async_wait(as_result);
+    } else {
+      co_await thaw_.async_wait(as_result);
+    }
+  }
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::control(
+    connection_ptr connection, stand_in_parser& parser) {
+  const std::string target(to_view(parser.get().target()));
+  std::string body(stream_block_bytes, '\0');
+  parser.get().body().data = body.data();
+  parser.get().body().size = body.size();
+  auto [error, count] =
+      co_await http::async_read(connection->socket, connection->buffer, parser, as_result);
+  if (error) co_return false;
+  body.resize(body.size() - parser.get().body().size);
+
+  stand_in_answer response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  const auto current = state.faults();
+  if (target == "/health") {
+    const bool well = current.claimed_healthy.value_or(current.shed_share < 1);
+    response.result(well ? http::status::ok : http::status::service_unavailable);
+  } else if (target == "/load") {
+    response.body() = nlohmann::json{{"busy", current.claimed_busy.value_or(busy_)},
+                                     {"queued", current.claimed_busy ? 0 : queued_.load()}}
+                          .dump();
+  } else if (target == "/stand-in/records") {
+    response.body() = to_json(state.records());
+  } else if (target == "/stand-in/fault") {
+    failure reason;
+    const auto faults = parse_faults(body, current, reason);
+    if (!faults) {
+      response.result(http::status::bad_request);
+      response.body() = nlohmann::json{{"error", reason.describe()}}.dump();
+      co_return co_await answer(connection, parser, response);
+    }
+    set_faults(*faults);
+    const auto object = nlohmann::json::parse(body);
+    const bool answered = co_await answer(connection, parser, response);
+    if (object.value("silence", false)) silence_open_connections();
+    if (object.value("crash", false)) {
+      std::optional<std::chrono::milliseconds> delay;
+      if (object.contains("restart_after_ms")) {
+        delay = std::chrono::milliseconds(object.value("restart_after_ms", 0));
+      }
+      crash(delay);
+    }
+    co_return answered;
+  } else {
+    response.result(http::status::not_found);
+  }
+  co_return co_await answer(connection, parser, response);
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::run(connection_ptr connection,
+                                                                        stand_in_parser& parser) {
+  stand_in_request request = describe(parser);
+  std::optional<steady_time> deadline;
+  if (request.time_left) deadline = std::chrono::steady_clock::now() + *request.time_left;
+  if (state.refuse_fence(request)) {
+    co_return co_await refuse(connection, parser, http::status::conflict, "not-run", "fenced");
+  }
+  if (state.refuse_by_shedding()) {
+    co_return co_await refuse(connection, parser, http::status::service_unavailable, "not-run",
+                              "upstream_shed");
+  }
+  if (busy_ >= settings_.slots && queued_ >= settings_.queue_limit) {
+    state.count_shed();
+    co_return co_await refuse(connection, parser, http::status::service_unavailable, "not-run",
+                              "upstream_shed");
+  }
+  const bool has_slot = co_await take_slot(connection, deadline);
+  if (!alive(connection) || connection->peer_closed) {
+    if (has_slot) release_slot(connection->life);
+    co_return false;
+  }
+  if (!has_slot) {
+    state.count_late();
+    co_return co_await refuse(connection, parser, http::status::gateway_timeout, "not-run",
+                              "deadline_passed");
+  }
+  const slot held(*this, connection->life);
+  co_return co_await run_in_slot(connection, parser, request, deadline);
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::run_in_slot(
+    connection_ptr connection, stand_in_parser& parser, stand_in_request& request,
+    std::optional<steady_time> deadline) {
+  const bool whole = co_await read_body(connection, parser, request);
+  if (!whole) {
+    state.count_cut_body();
+    co_return false;
+  }
+  co_await pass_faults(connection);
+  if (!alive(connection)) co_return false;
+  if (deadline && std::chrono::steady_clock::now() >= *deadline) {
+    state.count_late();
+    co_return co_await refuse(connection, parser, http::status::gateway_timeout, "not-run",
+                              "deadline_passed");
+  }
+  if (state.refuse_fence(request)) {
+    co_return co_await refuse(connection, parser, http::status::conflict, "not-run", "fenced");
+  }
+  const std::uint64_t number = state.begin_run(request, address(), boot_now());
+  const run_end how = co_await work(connection, state.draw_service_time(request), deadline);
+  if (!alive(connection)) co_return false;
+  co_return co_await finish(connection, parser, request, number, how);
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::finish(
+    connection_ptr connection, stand_in_parser& parser, const stand_in_request& request,
+    std::uint64_t run_number, run_end how) {
+  state.end_run(run_number, how, boot_now());
+  if (how == run_end::cancelled) co_return false;
+  if (silent(connection)) {
+    co_await pass_faults(connection);
+    co_return false;
+  }
+  if (how == run_end::timed_out) {
+    co_return co_await refuse(connection, parser, http::status::gateway_timeout, "may-have-run",
+                              "deadline_passed");
+  }
+  if (request.answer_bytes > 0) co_return co_await stream_answer(connection, parser, request);
+  stand_in_answer response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.set("X-Answer-For", request.request_id);
+  response.body() = receipt(request, address());
+  response.set("X-Answer-Xxh64", to_hexadecimal(hash_of_key(response.body())));
+  co_return co_await answer(connection, parser, response);
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::take_slot(
+    connection_ptr connection, std::optional<steady_time> deadline) {
+  if (deadline && std::chrono::steady_clock::now() >= *deadline) co_return false;
+  if (busy_ < settings_.slots) {
+    ++busy_;
+    co_return true;
+  }
+  auto turn = std::make_shared<waiter>(waiter{strand_timer(strand_)});
+  turn->timer.expires_at(deadline.value_or(steady_time::max()));
+  waiting_.push_back(turn);
+  ++queued_;
+  watch_peer(connection, turn->timer);
+  co_await turn->timer.async_wait(as_result);
+  unwatch_peer(connection);
+  if (!alive(connection)) co_return false;
+  if (!turn->granted) {
+    std::erase(waiting_, turn);
+    --queued_;
+  }
+  co_return turn->granted;
+}
+
+void stand_in::implementation::release_slot(std::uint64_t life) {
+  if (life != life_) return;
+  if (waiting_.empty()) {
+    --busy_;
+    return;
+  }
+  const auto next = waiting_.front();
+  waiting_.pop_front();
+  --queued_;
+  next->granted = true;
+  next->timer.cancel();
+}
+
+stand_in::implementation::awaitable<bool> stand_in::implementation::read_body(
+    connection_ptr connection, stand_in_parser& parser, stand_in_request& request) {
+  if (parser.is_done()) {
+    request.body_hash = body_hash{}.digest();
+    co_return true;
+  }
+  if (to_view(parser.get()[http::field::expect]) == "100-continue") {
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    auto [error, count] =
+        co_await asio::async_write(connection->socket, asio::buffer(go_on), as_result);
+    if (error) co_return false;
+  }
+  body_hash hash;
+  std::vector<char> block(stream_block_bytes);
+  while (!parser.is_done()) {
+    parser.get().body().data = block.data();
+    parser.get().body().size = block.size();
+    auto [error, count] =
+        co_await http::async_read(connection->socket, connection->buffer, parser, as_result);
+    if (error && error != http::error::need_buffer) co_return false;
+    co_await pass_faults(connection);
+    if (!alive(connection)) co_return false;
+    const std::size_t size = block.size() - parser.get().body().size;
+    hash.update(block.data(), size);
+    request.body_bytes += size;
+  }
+  request.body_hash = hash.digest();
+  co_return true;
+}
+
+stand_in::implementation::awaitable<run_end> stand_in::implementation::work(
+    connection_ptr connection, std::chrono::microseconds time,
+    std::optional<steady_time> deadline) {
+  if (time.count() > 0) {
+    const steady_time planned_end = std::chrono::steady_clock::now() + time;
+    strand_timer timer(strand_);
+    timer.expires_at(deadline ? std::min(planned_end, *deadline) : planned_end);
+    watch_peer(connection, timer);
+    co_await timer.async_wait(as_result);
+    unwatch_peer(connection);
+    if (connection->peer_closed && !silent(connection)) co_return run_end::cancelled;
+    if (deadline && planned_end > *deadline) co_return run_end::timed_out;
+  }
+  while (frozen_ && alive(connection)) co_await thaw_.async_wait(as_result);
+  co_return run_end::finished;
+}
+
+void stand_in::implementation::watch_peer(const connection_ptr& connection, strand_timer& timer) {
+  const std::uint64_t watch = ++connection->watch;
+  connection->socket.async_wait(
+      tcp::socket::wait_read,
+      [connection, watch, &timer, this](const boost::system::error_code& error) {
+        if (error || connection->watch != watch || silent(connection) || frozen_) return;
+        char byte = 0;
+        boost::system::error_code peek_error;
+        const auto count = connection->socket.receive(asio::buffer(&byte, 1),
+                                                      asio::socket_base::message_peek, peek_error);
+        if (count > 0 || peek_error == asio::error::would_block) return;
+        connection->peer_closed = true;
+        timer.cancel();
+      });
+}
+
+void stand_in::implementation::unwatch_peer(const connection_ptr& connection) {
+  ++connection->watch;
+  boost::system::error_code ignored;
+  connection->socket.cancel(ignored);
+}
+
+}  // namespace masticshunt::upstream
