--- /dev/null
+++ b/include/masticshunt/bench/load_generator.h
@@ -0,0 +1,147 @@
+/// @file
+/// Sends an open-loop load to agents over real sockets and keeps what became of each request.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "masticshunt/base/identity.h"
+#include "masticshunt/base/time.h"
+#include "masticshunt/bench/latency_histogram.h"
+#include "masticshunt/bench/schedule.h"
+
+namespace masticshunt::bench {
+
+/// How an attempt or a whole request ended, as the caller saw it.
+enum class attempt_end {
+  served,         ///< The whole answer came.
+  not_run,        ///< Refused as not run.
+  may_have_run,   ///< Refused as may have run.
+  failed,         ///< Answered as failed.
+  cut,            ///< The connection ended before the whole answer had come.
+  timed_out,      ///< No answer within the deadline and the grace.
+  unreachable,    ///< The agent took no connection; nothing was sent.
+  broken_promise  ///< The answer was not this request's, or a part that looked whole.
+};
+inline constexpr std::size_t attempt_end_count = 8;
+
+/// Returns the name of `how`, for example "not-run".
+std::string_view to_string(attempt_end how);
+
+/// When a caller sends a request again, at another agent, with the same identity.
+struct repeat_policy {
+  std::uint32_t attempts_max = 1;
+  bool after_not_run = true;
+  bool after_unreachable = true;
+  bool after_may_have_run = false;  ///< Also after failed, cut and timed out; what tests want.
+  bool follows_owner_hint = false;
+};
+
+/// What a load consists of and where it goes.
+struct load_settings {
+  std::vector<endpoint> agents;  ///< Caller endpoints; each request picks one.
+  schedule_settings schedule;
+  std::chrono::milliseconds warm_up{0};  ///< Requests scheduled before this are not counted.
+  repeat_policy repeats;
+  std::uint32_t callers = 8;                    ///< Distinct callers that requests are spread over.
+  std::uint32_t connections_per_kind = 64;      ///< Connections to one agent for one kind.
+  std::chrono::milliseconds answer_grace{500};  ///< Waited past the deadline for the refusal.
+  bool direct = false;  ///< The targets are upstreams, not agents; no routing headers.
+};
+
+/// One attempt of one request.
+struct attempt_log {
+  std::string request_id;
+  endpoint agent;
+  attempt_end how = attempt_end::unreachable;
+  std::uint16_t status = 0;
+  std::string reason;  ///< The refusal's reason, or what was wrong with the answer.
+};
+
+/// One request with all its attempts.
+struct request_log {
+  std::uint32_t kind = 0;
+  std::string service;
+  std::string key;
+  std::string identity;  ///< Idempotency-Key; empty for idempotent requests.
+  std::uint64_t body_hash = 0;
+  std::chrono::nanoseconds scheduled{0};
+  std::chrono::nanoseconds ended{0};
+  std::vector<attempt_log> attempts;
+
+  /// Returns how the last attempt ended.
+  [[nodiscard]] attempt_end how() const { return attempts.back().how; }
+};
+
+/// What became of the requests that share a label.
+struct label_result {
+  std::string label;
+  std::uint64_t offered = 0;
+  std::uint64_t repeats = 0;  ///< Attempts after the first.
+  std::array<std::uint64_t, attempt_end_count> ends{};
+  latency_histogram latency;                   ///< Of served requests, from the scheduled time.
+  latency_histogram refusal_latency;           ///< Of refused requests.
+  std::vector<std::uint64_t> served_per_slot;  ///< Served requests by time of scheduling.
+
+  /// Returns how many requests ended as `how`.
+  [[nodiscard]] std::uint64_t count(attempt_end how) const {
+    return ends[static_cast<std::size_t>(how)];
+  }
+};
+
+/// The length of a slot of `label_result::served_per_slot`.
+inline constexpr std::chrono::milliseconds result_slot{250};
+
+/// The result of one load.
+struct load_result {
+  std::vector<label_result> labels;
+  std::chrono::nanoseconds measured{0};  ///< The measured part of the schedule.
+  std::vector<request_log> log;          ///< All requests, warm-up included.
+
+  /// Returns the result of `label`, or an empty one.
+  [[nodiscard]] label_result of(std::string_view label) const;
+  /// Returns the served requests a second of `label`.
+  [[nodiscard]] double goodput(std::string_view label) const;
+  /// Returns the served requests a second of all labels.
+  [[nodiscard]] double goodput() const;
+  /// Returns the longest time from the scheduling of a request of some key that was not served to
+  /// the end of the next served request of that key, or to `measured` if none followed.
+  [[nodiscard]] std::chrono::nanoseconds longest_unavailable() const;
+};
+
+/// Sends a load.
+///
+/// Life cycle: construct, `start`, run the context until `done` is called, then take `result`.
+/// Thread safety: `start` and `cancel` may be called from any thread; `result` after `done`.
+///
+///     load_generator load(context, settings);
+///     load.start([&] { context.stop(); });
+///     context.run();
+///     print(load.result());
+class load_generator {
+ public:
+  load_generator(boost::asio::io_context& context, const load_settings& settings);
+  ~load_generator();
+  load_generator(const load_generator&) = delete;
+  load_generator& operator=(const load_generator&) = delete;
+
+  /// Starts sending; `done` is called once, when the last request has ended.
+  void start(std::function<void()> done);
+  /// Sends nothing that has not been sent yet.
+  void cancel();
+  /// Returns what became of the requests.
+  [[nodiscard]] const load_result& result() const;
+
+ private:
+  class implementation;
+  std::shared_ptr<implementation> implementation_;
+};
+
+}  // namespace masticshunt::bench
--- a/include/masticshunt/upstream/stand_in.h
+++ b/include/masticshunt/upstream/stand_in.h
@@ -83,6 +83,8 @@
   time_point started;
   time_point ended;  ///< Meaningful unless `how` is `running`.
   run_end how = run_end::running;
+  bool out_of_reach = false;  ///< For a time it could not have been cancelled: the stand-in was
+                              ///< frozen or the connection silent while it waited or ran.
 };
 
 /// Counts of what a stand-in did not run, and of its load.
--- /dev/null
+++ b/src/bench/answer_check.cpp
@@ -0,0 +1,68 @@
+#include "bench/internal/answer_check.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace masticshunt::bench {
+
+namespace {
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_bad_gateway = 502;
+
+std::uint64_t parse_hexadecimal(const std::string& text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return value;
+}
+
+attempt_end end_of_refusal(const incoming_answer& answer, std::string& reason) {
+  const auto body = nlohmann::json::parse(answer.text, nullptr, false);
+  if (body.is_object()) reason = body.value("reason", "");
+  if (answer.outcome == "not-run") return attempt_end::not_run;
+  if (answer.outcome == "may-have-run") return attempt_end::may_have_run;
+  if (answer.outcome == "failed" || answer.status >= status_bad_gateway) return attempt_end::failed;
+  reason = "the answer carries no known outcome";
+  return attempt_end::broken_promise;
+}
+
+/// Returns what is wrong with the receipt of an upstream stand-in, or an empty text.
+std::string fault_of_receipt(const outgoing_request& request, const incoming_answer& answer) {
+  const auto body = nlohmann::json::parse(answer.text, nullptr, false);
+  if (!body.is_object()) return "the receipt was cut and looked complete";
+  const bool own = request.identity.empty() ? body.value("request_id", "") == request.request_id
+                                            : body.value("identity", "") == request.identity;
+  if (!own) return "the answer belongs to another request";
+  if (body.value("body_bytes", std::uint64_t{0}) != request.body_bytes) {
+    return "the upstream ran a body of another length";
+  }
+  return {};
+}
+
+/// Returns what is wrong with a complete answer of an upstream stand-in, or an empty text.
+std::string fault_of(const outgoing_request& request, const incoming_answer& answer) {
+  if (request.method == "HEAD") return {};
+  if (!answer.answer_hash.empty() && parse_hexadecimal(answer.answer_hash) != answer.body_hash) {
+    return "the answer's checksum is wrong";
+  }
+  if (request.answer_bytes == 0) return fault_of_receipt(request, answer);
+  if (answer.body_bytes != request.answer_bytes) return "the answer was cut and looked complete";
+  if (answer.answer_for != request.request_id) return "the answer belongs to another request";
+  return {};
+}
+
+}  // namespace
+
+attempt_end judge(const outgoing_request& request, const incoming_answer& answer,
+                  std::string& reason) {
+  if (answer.timed_out) return attempt_end::timed_out;
+  if (!answer.complete) return attempt_end::cut;
+  const bool served = answer.outcome == "served" ||
+                      (answer.outcome.empty() && request.direct && answer.status == status_ok);
+  if (!served) return end_of_refusal(answer, reason);
+  if (answer.status != status_ok) return attempt_end::failed;
+  reason = fault_of(request, answer);
+  return reason.empty() ? attempt_end::served : attempt_end::broken_promise;
+}
+
+}  // namespace masticshunt::bench
--- /dev/null
+++ b/src/bench/load_result.cpp
@@ -0,0 +1,57 @@
+#include <algorithm>
+#include <map>
+
+#include "masticshunt/bench/load_generator.h"
+
+namespace masticshunt::bench {
+
+std::string_view to_string(attempt_end how) {
+  constexpr std::array<std::string_view, attempt_end_count> names = {
+      "served", "not-run", "may-have-run", "failed",
+      "cut",    "timeout", "unreachable",  "broken-promise"};
+  return names[static_cast<std::size_t>(how)];
+}
+
+label_result load_result::of(std::string_view label) const {
+  const auto place = std::ranges::find(labels, label, &label_result::label);
+  return place == labels.end() ? label_result{} : *place;
+}
+
+double load_result::goodput(std::string_view label) const {
+  const double seconds = std::chrono::duration<double>(measured).count();
+  return static_cast<double>(of(label).count(attempt_end::served)) / std::max(seconds, 1e-9);
+}
+
+double load_result::goodput() const {
+  double sum = 0;
+  std::ranges::for_each(labels, [&](const auto& each) { sum += goodput(each.label); });
+  return sum;
+}
+
+std::chrono::nanoseconds load_result::longest_unavailable() const {
+  struct key_state {
+    bool failing = false;
+    std::chrono::nanoseconds since{0};
+  };
+  std::vector<const request_log*> order;
+  std::ranges::transform(log, std::back_inserter(order), [](const auto& each) { return &each; });
+  std::ranges::stable_sort(order, {}, &request_log::scheduled);
+  std::map<std::pair<std::string_view, std::string_view>, key_state> keys;
+  std::chrono::nanoseconds longest{0};
+  for (const request_log* each : order) {
+    auto& key = keys[{each->service, each->key}];
+    if (each->how() == attempt_end::served) {
+      const auto since = key.failing ? key.since : each->scheduled;
+      longest = std::max(longest, each->ended - since);
+      key.failing = false;
+    } else if (!key.failing) {
+      key = {true, each->scheduled};
+    }
+  }
+  for (const auto& [name, key] : keys) {
+    if (key.failing) longest = std::max(longest, measured - key.since);
+  }
+  return longest;
+}
+
+}  // namespace masticshunt::bench
--- a/src/upstream/internal/stand_in_server.h
+++ b/src/upstream/internal/stand_in_server.h
@@ -38,6 +38,7 @@
   std::uint64_t life = 0;   ///< The server's life that accepted it.
   std::uint64_t watch = 0;  ///< Counts watches for the peer's close.
   bool peer_closed = false;
+  bool held = false;  ///< A freeze held up the request that it carries.
 };
 using connection_ptr = std::shared_ptr<stand_in_connection>;
 
--- a/src/upstream/internal/stand_in_state.h
+++ b/src/upstream/internal/stand_in_state.h
@@ -26,6 +26,7 @@
   std::uint64_t answer_bytes = 0;  ///< Zero: the answer is the JSON receipt.
   std::uint64_t body_bytes = 0;
   std::uint64_t body_hash = 0;
+  bool out_of_reach = false;  ///< It was held up by a freeze before it began.
 };
 
 /// Returns the fence in `text` ("<epoch>.<sequence>"), or nothing if it is malformed.
@@ -58,6 +59,8 @@
                           time_point now);
   /// Records the end of a run.
   void end_run(std::uint64_t number, run_end how, time_point now);
+  /// Marks the runs that have not ended as out of reach.
+  void lose_reach();
   /// Ends all runs as lost and forgets the fences. The incarnation rises.
   void lose_everything(time_point now);
 
--- a/src/upstream/stand_in.cpp
+++ b/src/upstream/stand_in.cpp
@@ -136,6 +136,7 @@
 void stand_in::implementation::set_faults(const stand_in_faults& faults) {
   state.set_faults(faults);
   frozen_ = faults.frozen;
+  if (faults.frozen) state.lose_reach();
   asio::dispatch(strand_, [self = shared_from_this()] {
     if (!self->frozen_) self->thaw_.cancel();
     self->announce_timer_.cancel();
@@ -143,8 +144,10 @@
 }
 
 void stand_in::implementation::silence_open_connections() {
-  asio::dispatch(strand_,
-                 [self = shared_from_this()] { self->silent_up_to_ = self->connection_count_; });
+  asio::dispatch(strand_, [self = shared_from_this()] {
+    self->silent_up_to_ = self->connection_count_;
+    self->state.lose_reach();
+  });
 }
 
 endpoint stand_in::implementation::address() const {
--- a/src/upstream/stand_in_connection.cpp
+++ b/src/upstream/stand_in_connection.cpp
@@ -139,6 +139,7 @@
       co_await http::async_read_header(connection->socket, connection->buffer, parser, as_result);
   if (error || !alive(connection)) co_return false;
   const std::string_view target = to_view(parser.get().target());
+  connection->held = false;
   if (!is_control_target(target)) co_await pass_faults(connection);
   if (!alive(connection)) co_return false;
   if (is_control_target(target) || target == "/health" || target == "/load") {
@@ -150,6 +151,7 @@
 stand_in::implementation::awaitable<void> stand_in::implementation::pass_faults(
     connection_ptr connection) {
   while (alive(connection) && (frozen_ || silent(connection))) {
+    connection->held = true;
     if (silent(connection)) {
       co_await connection->hold.async_wait(as_result);
     } else {
@@ -256,6 +258,7 @@
   if (state.refuse_fence(request)) {
     co_return co_await refuse(connection, parser, http::status::conflict, "not-run", "fenced");
   }
+  request.out_of_reach = connection->held;
   const std::uint64_t number = state.begin_run(request, address(), boot_now());
   const run_end how = co_await work(connection, state.draw_service_time(request), deadline);
   if (!alive(connection)) co_return false;
--- a/src/upstream/stand_in_state.cpp
+++ b/src/upstream/stand_in_state.cpp
@@ -102,7 +102,8 @@
                     {"body_xxh64", record.body_hash},
                     {"started_ns", record.started.time_since_epoch().count()},
                     {"ended_ns", record.ended.time_since_epoch().count()},
-                    {"end", to_string(record.how)}});
+                    {"end", to_string(record.how)},
+                    {"out_of_reach", record.out_of_reach}});
   }
   return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -170,6 +171,7 @@
   record.body_bytes = request.body_bytes;
   record.body_hash = request.body_hash;
   record.started = now;
+  record.out_of_reach = request.out_of_reach;
   records_.push_back(std::move(record));
   running_.push_back(records_.size());
   return records_.size();
@@ -182,6 +184,12 @@
   records_[number - 1].how = how;
 }
 
+void stand_in_state::lose_reach() {
+  const std::lock_guard lock(mutex_);
+  std::ranges::for_each(running_,
+                        [&](std::uint64_t number) { records_[number - 1].out_of_reach = true; });
+}
+
 void stand_in_state::lose_everything(time_point now) {
   const std::lock_guard lock(mutex_);
   std::ranges::for_each(running_, [&](std::uint64_t number) {
--- /dev/null
+++ b/tests/bench/load_generator_test.cpp
@@ -0,0 +1,114 @@
+#include "masticshunt/bench/load_generator.h"
+
+#include <memory>
+
+#include "expect.h"
+#include "masticshunt/bench/promise_checker.h"
+#include "masticshunt/upstream/stand_in.h"
+
+namespace asio = boost::asio;
+using masticshunt::failure;
+using masticshunt::bench::attempt_end;
+using masticshunt::bench::load_generator;
+using masticshunt::bench::load_result;
+using masticshunt::bench::load_settings;
+using masticshunt::bench::promise_checker;
+using masticshunt::bench::request_kind;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_true;
+using masticshunt::upstream::stand_in;
+using masticshunt::upstream::stand_in_faults;
+using masticshunt::upstream::stand_in_settings;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A load sent straight to one stand-in.
+struct direct_load {
+  direct_load() : server(context, stand_in_settings{}) {
+    failure reason;
+    expect_true(server.start(reason), reason.describe());
+    settings.direct = true;
+    settings.agents = {server.address()};
+    settings.schedule.duration = milliseconds(200);
+    settings.schedule.kinds = {request_kind{}};
+    settings.schedule.kinds[0].report_as = "all";
+    settings.schedule.kinds[0].rate = 200;
+  }
+
+  const load_result& run() {
+    load.emplace(context, settings);
+    load->start([this] { server.stop(); });
+    context.run();
+    return load->result();
+  }
+
+  asio::io_context context;
+  stand_in server;
+  load_settings settings;
+  std::optional<load_generator> load;
+};
+
+}  // namespace
+
+Test(load_generator, ends_every_request_of_the_schedule) {
+  direct_load here;
+  const auto& result = here.run();
+  expect_equal(result.log.size(), make_schedule(here.settings.schedule).size());
+  expect_equal(result.of("all").count(attempt_end::served), result.of("all").offered);
+}
+
+Test(load_generator, agrees_with_the_records_of_the_upstream) {
+  direct_load here;
+  here.settings.schedule.kinds[0].method = "POST";
+  here.settings.schedule.kinds[0].body_bytes = 100'000;
+  promise_checker checker;
+  checker.add_log(here.run().log);
+  checker.add_records(here.server.records());
+  const auto broken = checker.check();
+  expect_true(broken.empty(), broken.empty() ? "" : broken[0].detail);
+}
+
+Test(load_generator, checks_answers_of_many_blocks) {
+  direct_load here;
+  here.settings.schedule.kinds[0].answer_bytes = 200'000;
+  const auto& result = here.run();
+  expect_equal(result.of("all").count(attempt_end::served), result.of("all").offered);
+}
+
+Test(load_generator, counts_refusals_as_not_run) {
+  direct_load here;
+  stand_in_faults faults;
+  faults.shed_share = 1;
+  here.server.set_faults(faults);
+  const auto& result = here.run();
+  expect_equal(result.of("all").count(attempt_end::not_run), result.of("all").offered);
+}
+
+Test(load_generator, repeats_refused_requests_by_policy) {
+  direct_load here;
+  here.settings.repeats.attempts_max = 2;
+  stand_in_faults faults;
+  faults.shed_share = 1;
+  here.server.set_faults(faults);
+  const auto& result = here.run();
+  expect_equal(result.of("all").repeats, result.of("all").offered);
+}
+
+Test(load_generator, reports_an_agent_that_takes_no_connections) {
+  direct_load here;
+  here.server.stop();
+  const auto& result = here.run();
+  expect_equal(result.of("all").count(attempt_end::unreachable), result.of("all").offered);
+}
+
+Test(load_generator, reports_answers_that_do_not_come) {
+  direct_load here;
+  here.settings.schedule.kinds[0].deadline = milliseconds(50);
+  here.settings.answer_grace = milliseconds(10);
+  stand_in_faults faults;
+  faults.frozen = true;
+  here.server.set_faults(faults);
+  const auto& result = here.run();
+  expect_equal(result.of("all").count(attempt_end::timed_out), result.of("all").offered);
+}
