--- /dev/null
+++ b/include/masticshunt/decisions/requests/concurrency_limit.h
@@ -0,0 +1,103 @@
+/// @file
+/// A limit on attempts in flight at one upstream that follows what is observed.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "masticshunt/base/time.h"
+#include "masticshunt/decisions/requests/types.h"
+
+namespace masticshunt::requests {
+
+/// How the limit follows the observations.
+enum class limit_algorithm {
+  fixed,     ///< Stays where it starts.
+  additive,  ///< Additive increase, multiplicative decrease.
+  gradient   ///< Follows the queue that the latency betrays.
+};
+
+/// Settings of a limit.
+struct limit_settings {
+  limit_algorithm algorithm = limit_algorithm::gradient;
+  double start = 1;
+  double growth_max = 4;            ///< The limit stays under this multiple of its start.
+  double shrink_max = 4;            ///< And above this part of it.
+  std::size_t latency_classes = 1;  ///< Kinds of attempts with a usual latency of their own.
+};
+
+/// One ended attempt.
+struct limit_sample {
+  std::size_t latency_class = 0;
+  duration latency{};
+  std::uint32_t in_flight = 0;  ///< Attempts in flight just before it ended.
+  attempt_result result = attempt_result::answered;
+};
+
+/// Adapts a concurrency limit to latency, attempts in flight and shed answers.
+///
+/// Observations are gathered in windows. The gradient algorithm compares the mean latency of a
+/// saturated window with the mean under light load, which is measured whenever the load is light
+/// and, under lasting saturation, in short probes with a lower limit. It shrinks to the
+/// concurrency that the latency betrays. It grows by trials: a step up stays if the throughput
+/// rises with it; a failed trial doubles the pause until the next.
+/// Thread safety: none.
+class concurrency_limit {
+ public:
+  explicit concurrency_limit(limit_settings settings);
+
+  /// Takes the end of one attempt into account.
+  void observe(const limit_sample& sample);
+
+  /// Returns the attempts that may be in flight now.
+  [[nodiscard]] double value() const { return phase_ == phase::probe ? probe_limit() : limit_; }
+
+ private:
+  enum class phase { steady, probe, trial };
+  struct class_latency {
+    double sum = 0;
+    double count = 0;
+    double light = 0;          ///< Mean under light load.
+    double light_samples = 0;  ///< How much the mean under light load rests on.
+  };
+  using window_end = void (concurrency_limit::*)();
+
+  void end_window();
+  void end_fixed();
+  void end_additive();
+  void end_gradient();
+  void end_trial();
+  void end_saturated();
+  void learn_light_latency();
+  void schedule_probe();
+  void start_trial();
+  void start_window();
+  /// Returns the mean latency as a multiple of the mean under light load.
+  [[nodiscard]] double latency_ratio() const;
+  /// Returns the throughput as the attempts that would be in flight without queueing.
+  [[nodiscard]] double throughput() const;
+  [[nodiscard]] double probe_limit() const;
+  [[nodiscard]] bool window_is_full() const;
+  [[nodiscard]] bool is_saturated() const;
+  [[nodiscard]] bool is_light() const;
+  [[nodiscard]] bool sheds() const;
+  [[nodiscard]] bool light_is_unknown() const;
+  void set_limit(double limit);
+
+  limit_settings settings_;
+  double limit_;
+  std::vector<class_latency> classes_;
+  double samples_ = 0;
+  double in_flight_sum_ = 0;
+  double shed_ = 0;
+  double timed_out_ = 0;
+  phase phase_ = phase::steady;
+  std::uint32_t windows_until_probe_;
+  std::uint32_t windows_until_trial_;
+  std::uint32_t trial_pause_;
+  double limit_before_trial_ = 0;
+  double reference_throughput_ = 0;
+};
+
+}  // namespace masticshunt::requests
