--- /dev/null
+++ b/src/demo/deployment.cpp
@@ -0,0 +1,196 @@
+#include "masticshunt/demo/deployment.h"
+
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace masticshunt::demo {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned stand_in_threads = 2;
+constexpr std::chrono::milliseconds poll_interval{10};
+constexpr double store_calls_per_second = 20;
+
+}  // namespace
+
+class deployment::implementation {
+ public:
+  implementation(deployment_plan shape, std::uint64_t seed_value)
+      : plan(std::move(shape)), seed(seed_value), guard(asio::make_work_guard(context)) {}
+
+  ~implementation() {
+    for (auto& each : nodes) lose(each);
+    if (store) store->stop();
+    context.stop();
+    for (auto& thread : threads) thread.join();
+    store.reset();
+  }
+
+  bool start(failure& reason) {
+    store = std::make_unique<platform::store_stand_in>(context.get_executor());
+    for (unsigned index = 0; index < stand_in_threads; ++index) {
+      threads.emplace_back([this] { context.run(); });
+    }
+    write_records();
+    for (const auto& domain : plan.domains) {
+      for (const auto& service : plan.services) {
+        nodes.push_back({service.name + "-" + domain.name, service.name, domain.name, {}, {}});
+        if (!start_node(nodes.back(), reason)) return false;
+      }
+    }
+    return true;
+  }
+
+  void write_records() {
+    for (const auto& service : plan.services) {
+      configuration::service_record record;
+      record.name = service.name;
+      record.default_rank = service.ranks.empty() ? "" : service.ranks.back().name;
+      put({1, record});
+      for (const auto& rank : service.ranks) put({1, rank});
+    }
+  }
+
+  void put(const configuration::record& what) {
+    store->put(configuration::object_name(what), configuration::to_value(what));
+  }
+
+  bool start_node(node& each, failure& reason) {
+    const auto domain = std::ranges::find(plan.domains, each.failure_domain, &domain_plan::name);
+    agent::agent_settings settings;
+    settings.name = each.name;
+    settings.region = domain->region;
+    settings.failure_domain = domain->name;
+    settings.address = "127.0.0.1";
+    settings.caller_port = settings.forward_port = settings.control_port = 0;
+    settings.upstream_port = settings.operator_port = 0;
+    settings.workers = plan.agent_workers;
+    settings.store.addresses = {store->address()};
+    settings.store.calls_per_second = store_calls_per_second;
+    settings.lease = plan.lease;
+    each.agent_process = std::make_unique<agent::agent>(settings);
+    if (!each.agent_process->start(reason)) return false;
+    return start_upstream(each, reason);
+  }
+
+  bool start_upstream(node& each, failure& reason) {
+    const auto service = std::ranges::find(plan.services, each.service, &service_plan::name);
+    upstream::stand_in_settings settings;
+    settings.service = each.service;
+    settings.agent = each.agent_process->upstream_port_endpoint();
+    settings.incarnation = ++incarnations;
+    settings.slots = service->slots;
+    settings.connections = service->connections;
+    settings.checks_fences = service->checks_fences;
+    settings.service_time = service->service_time;
+    settings.seed = seed + incarnations;
+    if (each.upstream_process) retired.push_back(std::move(each.upstream_process));
+    each.upstream_process = std::make_unique<upstream::stand_in>(context, settings);
+    return each.upstream_process->start(reason);
+  }
+
+  static void lose(node& each) {
+    if (each.upstream_process) each.upstream_process->crash();
+    if (each.agent_process) each.agent_process->kill();
+    each.agent_process.reset();
+  }
+
+  [[nodiscard]] bool all_served() const {
+    return std::ranges::all_of(nodes, [this](const node& each) {
+      return !each.agent_process ||
+             std::ranges::all_of(plan.services, [&](const service_plan& service) {
+               return each.agent_process->routable_share(service.name) >= 1.0;
+             });
+    });
+  }
+
+  deployment_plan plan;
+  std::uint64_t seed;
+  std::uint64_t incarnations = 0;
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> guard;
+  std::vector<std::thread> threads;
+  std::unique_ptr<platform::store_stand_in> store;
+  std::vector<node> nodes;
+  std::vector<std::unique_ptr<upstream::stand_in>> retired;  ///< Kept for their records.
+};
+
+deployment::deployment(deployment_plan plan, std::uint64_t seed)
+    : implementation_(std::make_unique<implementation>(std::move(plan), seed)) {}
+deployment::~deployment() = default;
+
+bool deployment::start(failure& reason) {
+  return implementation_->start(reason);
+}
+
+bool deployment::all_served() const {
+  return implementation_->all_served();
+}
+
+bool deployment::wait_served(std::chrono::milliseconds limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!all_served()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    std::this_thread::sleep_for(poll_interval);
+  }
+  return true;
+}
+
+const deployment_plan& deployment::plan() const {
+  return implementation_->plan;
+}
+std::vector<node>& deployment::nodes() {
+  return implementation_->nodes;
+}
+platform::store_stand_in& deployment::store() {
+  return *implementation_->store;
+}
+
+std::vector<endpoint> deployment::caller_endpoints() const {
+  std::vector<endpoint> endpoints;
+  for (const auto& each : implementation_->nodes) {
+    if (each.agent_process) endpoints.push_back(each.agent_process->description().caller);
+  }
+  return endpoints;
+}
+
+std::vector<std::vector<upstream::run_record>> deployment::all_records() const {
+  std::vector<std::vector<upstream::run_record>> records;
+  for (const auto& each : implementation_->retired) records.push_back(each->records());
+  for (const auto& each : implementation_->nodes) {
+    if (each.upstream_process) records.push_back(each.upstream_process->records());
+  }
+  return records;
+}
+
+std::size_t deployment::first_node_of(std::string_view service) const {
+  const auto& nodes = implementation_->nodes;
+  const auto found = std::ranges::find_if(nodes, [&](const node& each) {
+    return each.service == service && each.agent_process != nullptr;
+  });
+  return static_cast<std::size_t>(found - nodes.begin());
+}
+
+void deployment::lose(std::size_t index) {
+  implementation::lose(implementation_->nodes.at(index));
+}
+
+bool deployment::restart(std::size_t index, failure& reason) {
+  return implementation_->start_node(implementation_->nodes.at(index), reason);
+}
+
+void deployment::set_drained(std::size_t index, bool drained) {
+  const auto& name = implementation_->nodes.at(index).name;
+  const configuration::record order{1, configuration::drain_record{name, name, ""}};
+  if (drained) {
+    implementation_->put(order);
+  } else {
+    implementation_->store->remove(configuration::object_name(order));
+  }
+}
+
+}  // namespace masticshunt::demo
--- /dev/null
+++ b/src/demo/internal/owner_census.h
@@ -0,0 +1,37 @@
+/// @file
+/// Counts how many ranges changed their owner between two moments.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "masticshunt/demo/deployment.h"
+
+namespace masticshunt::demo {
+
+/// Reads the assignment pages straight from the store's stand-in and counts owner changes.
+///
+/// Thread safety: none.
+class owner_census {
+ public:
+  explicit owner_census(deployment& on) : deployment_(on) {}
+
+  /// Notes the owners now; the changes since the last note are booked under `event`.
+  void take(const std::string& event);
+  /// Returns, for example, "drain 3, loss 5 of 48 ranges".
+  [[nodiscard]] std::string summary() const;
+
+ private:
+  using owners = std::map<std::pair<std::string, hash_range>, agent_id>;
+
+  [[nodiscard]] owners read() const;
+
+  deployment& deployment_;
+  owners last_;
+  bool first_ = true;
+  std::vector<std::pair<std::string, std::size_t>> changes_;
+};
+
+}  // namespace masticshunt::demo
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <iterator>
 
+#include "masticshunt/demo/run.h"
 #include "masticshunt/operator/command.h"
 #include "masticshunt/platform/store_stand_in.h"
 
@@ -17,6 +18,15 @@
 using masticshunt::operators::exit_usage;
 using masticshunt::operators::text_argument;
 
+/// Returns the whole number that `with` holds under `name`, or nothing.
+std::optional<std::uint64_t> number_argument(const arguments& with, const char* name) {
+  const auto text = text_argument(with, name).value_or("");
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
 int run_version(const arguments& /*with*/) {
   std::puts("masticshunt " MASTICSHUNT_VERSION " (built " __DATE__ ", compiler " __VERSION__ ")");
   return exit_ok;
@@ -40,7 +50,27 @@
   return exit_ok;
 }
 
+int run_demo(const arguments& with) {
+  masticshunt::demo::demo_options options;
+  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+  const auto seconds = number_argument(with, "--seconds");
+  const auto seed = number_argument(with, "--seed");
+  if (!seconds || !seed || *seconds == 0) {
+    std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
+    return exit_usage;
+  }
+  options.duration = std::chrono::seconds{*seconds};
+  options.seed = *seed;
+  return masticshunt::demo::run(options);
+}
+
 constexpr std::array local_commands{
+    command{"demo", "Runs both deployments of the brief in this process, with faults",
+            "  masticshunt demo [--deployment=NAME] [--seconds=N] [--seed=N]\n\nOptions:\n"
+            "  --deployment=NAME  imhof, llyfrnod or both [default: both].\n"
+            "  --seconds=N        How long each deployment is under load [default: 12].\n"
+            "  --seed=N           Drives the load [default: 1].\n",
+            &run_demo},
     command{"store-stand-in", "Runs an in-memory stand-in of the platform's store",
             "  masticshunt store-stand-in [--port=N]\n\nOptions:\n"
             "  --port=N  The port on 127.0.0.1 [default: 4700].\n",
