Address demands to appointments; pace page writes; agree on records without tombstones

Cause: randomised runs found keys that stayed unserved after healing: a coordinator promised to itself through the address of its earlier life, an old answer was taken for a newer write, and agents whose deletion marks differed sent all records for ever. Change: stop demands name the appointment, write answers are matched by call, deleted records do not count in the digest, and page writes and new appointments are paced.

--- a/include/masticshunt/decisions/ownership/coordinator.h
+++ b/include/masticshunt/decisions/ownership/coordinator.h
@@ -131,6 +131,7 @@
   std::map<agent_id, time_point> hold_off_;  ///< Suspect no earlier: others hear the owner.
   std::set<fence_token> released_;
   std::map<std::uint64_t, time_point> withdrawn_seen_;
+  std::map<std::string, time_point> appoint_after_;  ///< Withdrawn agents are not named at once.
   std::map<std::pair<std::uint64_t, std::uint64_t>, time_point> support_words_;
   std::map<std::uint64_t, time_point> own_words_;
   std::uint64_t next_number_ = 1;
--- a/include/masticshunt/decisions/ownership/group_host.h
+++ b/include/masticshunt/decisions/ownership/group_host.h
@@ -62,6 +62,12 @@
   [[nodiscard]] bool coordinates() const;
   /// Returns true if this agent is a renewer that is not withdrawn.
   [[nodiscard]] bool renews() const;
+  /// Returns true while the fate of a page write is unknown.
+  [[nodiscard]] bool write_in_doubt() const { return writer_.busy(); }
+  /// Returns how many owners this agent, as coordinator, wants nobody to renew.
+  [[nodiscard]] std::size_t demands() const {
+    return coordinator_ ? coordinator_->active_stops().size() : 0;
+  }
   /// Returns the writer, for sending what is due.
   [[nodiscard]] page_writer& writer() { return writer_; }
 
--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -132,8 +132,9 @@
 /// Asks a renewer to stop renewing an owner, or takes the demand back.
 struct stop_request {
   group_name group;
-  std::uint64_t epoch = 0;   ///< The coordinator's.
-  std::uint64_t number = 0;  ///< Rises within the epoch; a lower pair is stale.
+  std::uint64_t epoch = 0;        ///< The coordinator's.
+  std::uint64_t number = 0;       ///< Rises within the epoch; a lower pair is stale.
+  std::uint64_t appointment = 0;  ///< Of the renewer that is asked.
   agent_id owner;
   std::uint64_t up_to = 0;  ///< Tokens with a sequence up to this one are meant.
   bool active = true;       ///< False takes the demand back.
--- a/include/masticshunt/decisions/ownership/page_writer.h
+++ b/include/masticshunt/decisions/ownership/page_writer.h
@@ -25,11 +25,13 @@
     must_read  ///< Read the page and pass it to `page_seen`.
   };
 
+  /// Returns true if the budget of writes allows another one.
+  bool may_start(time_point now);
   /// Starts a write of `next` over the version `expected`. `write_id` names it.
   void start(assignment_page next, std::uint64_t expected, std::string write_id, time_point now);
   /// Returns the write to be sent now, or nothing.
   std::optional<store_write> due(store_call_id call, time_point now);
-  /// Takes in the store's answer.
+  /// Takes in the store's answer; those to earlier writes are ignored.
   fate answered(const store_write_done& answer, jitter_source& jitter, time_point now);
   /// A page was seen, in the store or from a peer: decides a write in doubt.
   fate page_seen(const assignment_page& page);
@@ -45,7 +47,10 @@
   std::optional<assignment_page> next_;
   std::uint64_t expected_ = 0;
   bool waiting_ = false;
+  store_call_id call_ = 0;  ///< The call whose answer is awaited.
   time_point retry_at_{};
+  double tokens_ = 0;  ///< Writes that the budget allows now.
+  time_point refilled_{};
   backoff backoff_;
 };
 
--- a/include/masticshunt/decisions/ownership/record_feed.h
+++ b/include/masticshunt/decisions/ownership/record_feed.h
@@ -18,14 +18,19 @@
  public:
   explicit record_feed(fault_injection faults) : faults_(faults) {}
 
-  /// Takes in objects. `complete` says that nothing else exists up to `revision`. Returns what
-  /// became newer here, and adds `record_in_force` actions for it.
-  std::vector<stored_record> take(const std::vector<stored_record>& records, std::uint64_t revision,
-                                  bool complete, invariant_counters& invariants, step& step);
-
-  /// Returns everything known, deletions included.
+  /// Takes in objects. Returns what became newer here, and adds `record_in_force` actions for it.
+  std::vector<stored_record> take(const std::vector<stored_record>& records,
+                                  invariant_counters& invariants, step& step);
+  /// Takes in everything that exists at `revision`: older records that are not in it are deleted.
+  std::vector<stored_record> take_everything(const std::vector<stored_record>& records,
+                                             std::uint64_t revision,
+                                             invariant_counters& invariants, step& step);
+  /// Everything up to `revision` has been taken in.
+  void known_up_to(std::uint64_t revision);
+
+  /// Returns all live records and the revision they stand for.
   [[nodiscard]] records_update everything() const;
-  /// Returns a hash of all names and versions.
+  /// Returns a hash of the names and versions of all live records.
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
   /// Returns the newest revision that is known completely.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
--- a/include/masticshunt/decisions/ownership/step.h
+++ b/include/masticshunt/decisions/ownership/step.h
@@ -33,7 +33,9 @@
   actions out;
 
   /// Adds a message to `to`.
-  void send(const endpoint& to, message body) { out.push_back(send_message{to, std::move(body)}); }
+  void send(const endpoint& to, message body) {
+    out.emplace_back(send_message{to, std::move(body)});
+  }
 };
 
 /// Converts durations between clocks whose rates differ from true time by at most the drift.
--- a/src/decisions/ownership/agent_core.cpp
+++ b/src/decisions/ownership/agent_core.cpp
@@ -56,8 +56,11 @@
                      {"invariant_violations", core.invariants.violations()}};
   auto& groups = out["groups"] = nlohmann::json::array();
   for (const auto& [name, group] : core.groups) {
-    nlohmann::json entry{
-        {"page", group.page()}, {"coordinates", group.coordinates()}, {"renews", group.renews()}};
+    nlohmann::json entry{{"page", group.page()},
+                         {"coordinates", group.coordinates()},
+                         {"renews", group.renews()},
+                         {"write_in_doubt", group.write_in_doubt()},
+                         {"demands", group.demands()}};
     if (const auto* rights = group.rights()) {
       const auto end = rights->right_end(group.page());
       const bool endless = end && *end == time_point::max();
--- a/src/decisions/ownership/agent_messages.cpp
+++ b/src/decisions/ownership/agent_messages.cpp
@@ -65,7 +65,10 @@
 }
 
 void agent_core::state::on(const records_update& body, const endpoint& /*from*/, step& step) {
-  take_records(body.records, body.revision, body.complete, step);
+  records_changed(body.complete
+                      ? records.take_everything(body.records, body.revision, invariants, step)
+                      : records.take(body.records, invariants, step),
+                  step);
 }
 
 void agent_core::state::on(const renew_reply& body, const endpoint& /*from*/, step& step) {
@@ -128,7 +131,11 @@
   reader.revision = std::max(reader.revision, what.revision);
   reader.next_try = step.now;
   if (!of_groups) {
-    take_records(records_of(*what.objects), what.revision, first, step);
+    const auto listed = records_of(*what.objects);
+    auto newer = first ? records.take_everything(listed, what.revision, invariants, step)
+                       : records.take(listed, invariants, step);
+    records.known_up_to(what.revision);
+    records_changed(std::move(newer), step);
     return;
   }
   failure reason;
--- a/src/decisions/ownership/agent_state.cpp
+++ b/src/decisions/ownership/agent_state.cpp
@@ -113,7 +113,7 @@
   tick_own_group(step);
   refresh_pages(step);
   finish_stopping(step);
-  step.out.push_back(wake_at{step.now + settings.timing.tick});
+  step.out.emplace_back(wake_at{step.now + settings.timing.tick});
 }
 
 void agent_core::state::tick_groups(step& step) {
@@ -122,7 +122,7 @@
     const auto write = host.writer().due(next_call, step.now);
     if (!write) continue;
     static_cast<void>(start_call(call_purpose::write, name, step.now));
-    step.out.push_back(*write);
+    step.out.emplace_back(*write);
   }
 }
 
@@ -131,7 +131,7 @@
   if (delay != read_delays.end() && step.now < delay->second.first) return;
   if (!reading.insert(name).second) return;
   const auto call = start_call(call_purpose::read, name, step.now);
-  step.out.push_back(store_read{call, page_object_name(name)});
+  step.out.emplace_back(store_read{call, page_object_name(name)});
 }
 
 void agent_core::state::read_prefix(prefix_reader& reader, step& step) {
@@ -141,7 +141,7 @@
   const auto call = start_call(reader.listed ? reader.watch : reader.list, {}, step.now);
   store_list list{call, reader.prefix, {}};
   if (reader.listed) list.after_revision = reader.revision;
-  step.out.push_back(std::move(list));
+  step.out.emplace_back(std::move(list));
 }
 
 void agent_core::state::tick_own_group(step& step) {
@@ -205,7 +205,7 @@
   const bool renews = std::ranges::any_of(groups | std::views::values, &group_host::renews);
   if ((owns || renews) && step.now < stop_deadline) return;
   stopped_said = true;
-  step.out.push_back(stopped{});
+  step.out.emplace_back(stopped{});
 }
 
 void agent_core::state::publish(const message& body, step& step) {
@@ -235,14 +235,12 @@
   publish(page_update{host.page()}, step);
 }
 
-void agent_core::state::take_records(const std::vector<stored_record>& given,
-                                     std::uint64_t revision, bool complete, step& step) {
-  auto newer = records.take(given, revision, complete, invariants, step);
+void agent_core::state::records_changed(std::vector<stored_record> newer, step& step) {
   if (newer.empty()) return;
   for (const auto& [name, incarnation] : records.lost_agents()) {
     for (auto& host : groups | std::views::values) host.note_ended(name, incarnation, step.now);
   }
-  publish(records_update{revision, false, std::move(newer)}, step);
+  publish(records_update{records.revision(), false, std::move(newer)}, step);
 }
 
 void agent_core::state::handle(const upstream_announced& what, step& step) {
--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t renewers_wanted = 3;
 constexpr std::size_t renewers_most = 6;
+constexpr duration appoint_pause = std::chrono::seconds{10};
 constexpr duration demand_interval = std::chrono::milliseconds{200};
 constexpr duration hold_off_time = std::chrono::milliseconds{1000};
 constexpr duration release_interval = std::chrono::milliseconds{500};
@@ -53,7 +54,8 @@
     if (member.id.incarnation > 0) note_ended(member.id.name, member.id.incarnation - 1, now);
   }
   for (const auto& record : page.renewers) {
-    if (record.withdrawn) withdrawn_seen_.try_emplace(record.appointment, now);
+    if (!record.withdrawn || !withdrawn_seen_.try_emplace(record.appointment, now).second) continue;
+    appoint_after_[record.id.name] = now + appoint_pause;
   }
   const auto unnamed = [&](std::uint64_t appointment) {
     return find_appointment(page, appointment) == nullptr;
@@ -255,8 +257,8 @@
     for (const auto& other : page.renewers) {
       if (other.appointment == rights.appointment()) continue;
       if (wanted && change.words.contains(other.appointment)) continue;
-      step.send(other.control,
-                stop_request{name_of(page), page.epoch, number, owner, change.up_to, wanted});
+      step.send(other.control, stop_request{name_of(page), page.epoch, number, other.appointment,
+                                            owner, change.up_to, wanted});
     }
     if (!wanted) changes_.erase(owner);
   }
@@ -431,7 +433,9 @@
     const bool leaving = report != reports_.end() && report->second.leaving;
     const bool is_named = std::ranges::any_of(
         next.renewers, [&](const auto& record) { return record.id.name == member.id.name; });
-    if (is_named || leaving || !alive(member.id, now)) continue;
+    const auto paused = appoint_after_.find(member.id.name);
+    const bool too_soon = paused != appoint_after_.end() && now < paused->second;
+    if (is_named || leaving || too_soon || !alive(member.id, now)) continue;
     if (best == nullptr || score(member) > score(*best)) best = &member;
   }
   if (best == nullptr) return false;
--- a/src/decisions/ownership/group_host.cpp
+++ b/src/decisions/ownership/group_host.cpp
@@ -78,7 +78,7 @@
   const bool needs_store = renewer_->tick(
       page_, has_tenure ? coordinator_->next_stop() : 0,
       has_tenure ? coordinator_->active_stops() : std::vector<std::uint64_t>{}, step);
-  if (!writer_.busy()) consider_next_page(intent, step.now);
+  if (writer_.may_start(step.now)) consider_next_page(intent, step.now);
   return needs_store;
 }
 
--- a/src/decisions/ownership/internal/agent_state.h
+++ b/src/decisions/ownership/internal/agent_state.h
@@ -72,8 +72,7 @@
   void read_page(const group_name& name, step& step);
   void adopt(const assignment_page& page, step& step);
   void page_changed(group_host& group, std::uint64_t version_before, step& step);
-  void take_records(const std::vector<stored_record>& records, std::uint64_t revision,
-                    bool complete, step& step);
+  void records_changed(std::vector<stored_record> newer, step& step);
   void publish(const message& body, step& step);
   void update_leaving(step& step);
 
--- a/src/decisions/ownership/owner.cpp
+++ b/src/decisions/ownership/owner.cpp
@@ -116,7 +116,7 @@
   if (entry.state != phase::held) return;
   entry.state = phase::finishing;
   const std::string service = self_.upstream ? self_.upstream->service : std::string{};
-  step.out.push_back(finish_range{service, entry.assignment.range});
+  step.out.emplace_back(finish_range{service, entry.assignment.range});
 }
 
 void owner::handle(const release_request& request, step& step) {
--- a/src/decisions/ownership/page_writer.cpp
+++ b/src/decisions/ownership/page_writer.cpp
@@ -1,8 +1,23 @@
 #include "masticshunt/decisions/ownership/page_writer.h"
 
+#include <algorithm>
+
 #include "masticshunt/decisions/ownership/page.h"
 
 namespace masticshunt::ownership {
+namespace {
+
+constexpr double writes_per_second = 2;
+constexpr double writes_at_once = 8;
+
+}  // namespace
+
+bool page_writer::may_start(time_point now) {
+  const std::chrono::duration<double> passed = now - refilled_;
+  tokens_ = std::min(writes_at_once, tokens_ + passed.count() * writes_per_second);
+  refilled_ = now;
+  return !busy() && tokens_ >= 1;
+}
 
 void page_writer::start(assignment_page next, std::uint64_t expected, std::string write_id,
                         time_point now) {
@@ -11,18 +26,20 @@
   expected_ = expected;
   waiting_ = false;
   retry_at_ = now;
+  tokens_ -= 1;
 }
 
 std::optional<store_write> page_writer::due(store_call_id call, time_point now) {
   if (!next_ || waiting_ || now < retry_at_) return std::nullopt;
   waiting_ = true;
+  call_ = call;
   return store_write{call, page_object_name(name_of(*next_)), expected_, to_value(*next_)};
 }
 
 page_writer::fate page_writer::answered(const store_write_done& answer, jitter_source& jitter,
                                         time_point now) {
+  if (!next_ || !waiting_ || answer.call != call_) return fate::pending;
   waiting_ = false;
-  if (!next_) return fate::lost;
   if (answer.version) {
     backoff_.reset();
     next_->version = *answer.version;
--- a/src/decisions/ownership/record_feed.cpp
+++ b/src/decisions/ownership/record_feed.cpp
@@ -9,7 +9,9 @@
 
 constexpr std::string_view lost_prefix = "config/lost/";
 
+/// Deleted records count for nothing: an agent that never knew them agrees with one that did.
 std::uint64_t hash_of(const stored_record& record) {
+  if (record.value.empty()) return 0;
   return hash_of_key(record.name + "@" + std::to_string(record.version));
 }
 
@@ -23,22 +25,29 @@
   if (!faults_.records_revert) {
     invariants.check(record.version > known.version, "record_versions_rise");
   }
-  if (known.version != 0) digest_ ^= hash_of(known);
+  digest_ ^= hash_of(known);
   known = record;
   digest_ ^= hash_of(known);
   registry_.apply(record.name, record.version, record.value);
-  step.out.push_back(record_in_force{{record.name, record.version, record.value}});
+  step.out.emplace_back(record_in_force{{record.name, record.version, record.value}});
   return true;
 }
 
 std::vector<stored_record> record_feed::take(const std::vector<stored_record>& records,
-                                             std::uint64_t revision, bool complete,
                                              invariant_counters& invariants, step& step) {
   std::vector<stored_record> newer;
   for (const auto& record : records) {
     if (take_one(record, invariants, step)) newer.push_back(record);
   }
-  if (!complete || revision < revision_) return newer;
+  return newer;
+}
+
+std::vector<stored_record> record_feed::take_everything(const std::vector<stored_record>& records,
+                                                        std::uint64_t revision,
+                                                        invariant_counters& invariants,
+                                                        step& step) {
+  auto newer = take(records, invariants, step);
+  if (revision < revision_) return newer;
   std::vector<stored_record> deletions;
   for (const auto& known : records_ | std::views::values) {
     const bool listed =
@@ -47,16 +56,19 @@
       deletions.push_back({known.name, revision, {}});
     }
   }
-  for (const auto& deletion : deletions) {
-    if (take_one(deletion, invariants, step)) newer.push_back(deletion);
-  }
-  revision_ = std::max(revision_, revision);
+  std::ranges::move(take(deletions, invariants, step), std::back_inserter(newer));
+  known_up_to(revision);
   return newer;
 }
 
+void record_feed::known_up_to(std::uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+}
+
 records_update record_feed::everything() const {
-  records_update update{revision_, false, {}};
-  std::ranges::copy(records_ | std::views::values, std::back_inserter(update.records));
+  records_update update{revision_, true, {}};
+  std::ranges::copy_if(records_ | std::views::values, std::back_inserter(update.records),
+                       [](const stored_record& record) { return !record.value.empty(); });
   return update;
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -215,6 +215,7 @@
   std::function<void(std::size_t)> on_crash;
   std::function<void(std::size_t, const ownership::record_in_force&)> on_record;
   std::function<void(const std::string&)> on_violation;
+  std::function<void(std::size_t, const ownership::send_message&)> on_send;
 
  private:
   static constexpr std::size_t trace_kept = 4000;
@@ -258,6 +259,7 @@
 
   void act(std::size_t index, const ownership::send_message& what) {
     ++messages;
+    if (on_send) on_send(index, what);
     const auto target = std::ranges::find(nodes, what.to, &node::control);
     if (target == nodes.end()) return;
     const auto to = static_cast<std::size_t>(target - nodes.begin());
--- /dev/null
+++ b/tools/soak.cpp
@@ -0,0 +1,58 @@
+/// @file
+/// Randomised runs of many agents' decisions under faults; prints a trace of the first violation.
+#include <docopt.h>
+
+#include <cstdio>
+#include <string>
+
+#include "soak/chaos.h"
+
+namespace {
+
+constexpr char usage[] = R"(Runs agents' decisions in virtual time under random faults.
+
+Usage:
+  soak [--seed=<n>] [--steps=<n>] [--seeds=<n>]
+
+Options:
+  --seed=<n>   The first seed [default: 1].
+  --steps=<n>  Events to handle over all seeds [default: 200000].
+  --seeds=<n>  Seeds to share the steps [default: 1].
+)";
+
+std::uint64_t number(const std::map<std::string, docopt::value>& options, const char* name) {
+  return std::stoull(options.at(name).asString());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace masticshunt::testing;
+  const auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+  const auto first = number(options, "--seed");
+  const auto seeds = std::max<std::uint64_t>(number(options, "--seeds"), 1);
+  const auto steps = number(options, "--steps");
+  std::uint64_t handled = 0;
+  std::uint64_t rounds = 0;
+  std::uint64_t tickets = 0;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    const auto result = soak(settings_of_seed(seed), steps / seeds);
+    handled += result.steps;
+    rounds += result.rounds;
+    tickets += result.tickets;
+    if (!result.violation) continue;
+    std::printf(
+        "%s\nseed %llu broke after %llu steps: %s\nrepeat: make soak SEED=%llu STEPS=%llu\n",
+        result.trace.c_str(), static_cast<unsigned long long>(seed),
+        static_cast<unsigned long long>(result.steps), result.violation->c_str(),
+        static_cast<unsigned long long>(seed), static_cast<unsigned long long>(steps / seeds));
+    return 1;
+  }
+  std::printf(
+      "seeds %llu to %llu: %llu steps, %llu rounds of faults, %llu admissions judged, "
+      "no violation\n",
+      static_cast<unsigned long long>(first), static_cast<unsigned long long>(first + seeds - 1),
+      static_cast<unsigned long long>(handled), static_cast<unsigned long long>(rounds),
+      static_cast<unsigned long long>(tickets));
+  return 0;
+}
