--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -134,6 +134,7 @@
   group_name group;
   std::uint64_t epoch = 0;        ///< The coordinator's.
   std::uint64_t number = 0;       ///< Rises within the epoch; a lower pair is stale.
+  std::uint64_t sequence = 0;     ///< Of the page that the coordinator holds; the renewer must too.
   std::uint64_t appointment = 0;  ///< Of the renewer that is asked.
   agent_id owner;
   std::uint64_t up_to = 0;  ///< Tokens with a sequence up to this one are meant.
--- a/src/decisions/ownership/agent_messages.cpp
+++ b/src/decisions/ownership/agent_messages.cpp
@@ -6,6 +6,9 @@
 namespace masticshunt::ownership {
 namespace {
 
+constexpr duration group_watch_interval = std::chrono::seconds{1};
+constexpr duration record_watch_interval = std::chrono::milliseconds{300};
+
 /// Returns the group of a message about one group, or nothing.
 std::optional<group_name> group_in(const message& body) {
   return std::visit(
@@ -129,7 +132,7 @@
   reader.delays.reset();
   reader.listed = true;
   reader.revision = std::max(reader.revision, what.revision);
-  reader.next_try = step.now;
+  reader.next_try = step.now + (of_groups ? group_watch_interval : record_watch_interval);
   if (!of_groups) {
     const auto listed = records_of(*what.objects);
     auto newer = first ? records.take_everything(listed, what.revision, invariants, step)
--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -257,8 +257,8 @@
     for (const auto& other : page.renewers) {
       if (other.appointment == rights.appointment()) continue;
       if (wanted && change.words.contains(other.appointment)) continue;
-      step.send(other.control, stop_request{name_of(page), page.epoch, number, other.appointment,
-                                            owner, change.up_to, wanted});
+      step.send(other.control, stop_request{name_of(page), page.epoch, number, page.sequence,
+                                            other.appointment, owner, change.up_to, wanted});
     }
     if (!wanted) changes_.erase(owner);
   }
--- a/src/decisions/ownership/internal/json_codec.h
+++ b/src/decisions/ownership/internal/json_codec.h
@@ -96,8 +96,8 @@
                                                 sequence, epoch, next_stop, active_stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(support_reply, group, appointment, supporter,
                                                 request, sequence, supported)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_request, group, epoch, number, appointment,
-                                                owner, up_to, active)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_request, group, epoch, number, sequence,
+                                                appointment, owner, up_to, active)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_reply, group, epoch, number, appointment,
                                                 owner, ends_in, heard_ago)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stored_record, name, version, value)
