Prove the request chain by randomised runs and mend the limit they showed starving

Cause: a run of the whole chain (entry, gate, ledger, upstream with freezes, sheds, lost answers, owner changes, repeats at other agents) left the gate's limit at its minimum after a freeze and with an upstream that sheds at any concurrency. Change: chain_run and its tests, with every promise broken on purpose once; the limit is restored when a frozen upstream answers again, and sheds shrink it only if that helps; the ledger hands its knowledge over with its age, keeps a delivery bound and distrusts stale routes.

--- a/include/masticshunt/decisions/requests/concurrency_limit.h
+++ b/include/masticshunt/decisions/requests/concurrency_limit.h
@@ -41,8 +41,9 @@
 /// saturated window with the mean under light load, which is measured whenever the load is light
 /// and, under lasting saturation, in short probes with a lower limit. It shrinks to the
 /// concurrency that the latency betrays. It grows by trials: a step up stays if the throughput
-/// rises with it; a failed trial doubles the pause until the next.
-/// Thread safety: none.
+/// rises with it; a failed trial doubles the pause until the next. While most attempts time out the
+/// limit shrinks, so that a frozen upstream holds less work; it is restored once answers come
+/// again. Thread safety: none.
 class concurrency_limit {
  public:
   explicit concurrency_limit(limit_settings settings);
@@ -69,6 +70,9 @@
   void end_gradient();
   void end_trial();
   void end_saturated();
+  void end_shed();
+  void end_timed_out();
+  void restore_after_time_outs();
   void learn_light_latency();
   void schedule_probe();
   void start_trial();
@@ -81,6 +85,7 @@
   [[nodiscard]] bool window_is_full() const;
   [[nodiscard]] bool is_saturated() const;
   [[nodiscard]] bool is_light() const;
+  [[nodiscard]] double shed_share() const { return samples_ > 0 ? shed_ / samples_ : 0; }
   [[nodiscard]] bool sheds() const;
   [[nodiscard]] bool light_is_unknown() const;
   void set_limit(double limit);
@@ -97,6 +102,10 @@
   std::uint32_t windows_until_trial_;
   std::uint32_t trial_pause_;
   double limit_before_trial_ = 0;
+  double limit_before_sheds_ = 0;      ///< Zero unless shed answers have shrunk the limit.
+  double shed_share_before_ = 0;       ///< The share of shed answers that shrank it.
+  double shed_share_tolerated_ = 0;    ///< A share that a lower limit did not help against.
+  double limit_before_time_outs_ = 0;  ///< Zero unless time-outs have shrunk the limit.
   double reference_throughput_ = 0;
 };
 
--- a/include/masticshunt/decisions/requests/repeat_ledger.h
+++ b/include/masticshunt/decisions/requests/repeat_ledger.h
@@ -43,17 +43,19 @@
 /// Settings of the ledger.
 struct ledger_settings {
   duration repeat_window = std::chrono::seconds{60};
-  std::size_t capacity = 65'536;                 ///< Identities remembered at the most.
-  std::size_t answer_bytes_kept = 4'096;         ///< Larger answers are not kept.
-  std::size_t answer_bytes_total = 64UL << 20U;  ///< All kept answers together.
+  duration delivery_bound = std::chrono::seconds{5};  ///< How late a sent attempt may arrive.
+  std::size_t capacity = 65'536;                      ///< Identities remembered at the most.
+  std::size_t answer_bytes_kept = 4'096;              ///< Larger answers are not kept.
+  std::size_t answer_bytes_total = 64UL << 20U;       ///< All kept answers together.
   ledger_faults faults;
 };
 
 /// This agent's ownership of the range that a request's key lies in.
 struct ownership_view {
-  time_point owned_since = time_point::min();  ///< `min()` if no earlier owner existed.
+  /// Since when this owner, and those that handed over to it, know of every run without a gap;
+  /// `min()` if there was no owner before.
+  time_point owned_since = time_point::min();
   fence_token fence{};
-  bool ledger_handed_over = false;  ///< True if the earlier owner's entries were imported.
 };
 
 /// One remembered identity in a hand-over to the next owner.
@@ -67,6 +69,12 @@
   already_answered answer;
 };
 
+/// What an owner tells the next one in a planned move.
+struct ledger_hand_over {
+  std::vector<ledger_entry> entries;
+  std::optional<duration> known_for;  ///< Age of its knowledge; empty if nobody owned before.
+};
+
 /// Counts of the ledger's verdicts and of its broken promises (which must stay zero).
 struct ledger_counts {
   std::uint64_t runs = 0;
@@ -80,10 +88,10 @@
 /// Remembers which identities this owner has sent to its upstream.
 ///
 /// A request whose identity is unknown gets `may_have_run` while an earlier owner may have run it:
-/// until `repeat_window` after `owned_since`, unless the earlier owner handed its entries over, or
-/// the caller declares a first attempt and the entry agent routed it by the present ownership.
-/// An identity is remembered until `repeat_window` after its last use. When the ledger is full, new
-/// identities are refused as not run; none is forgotten early.
+/// until `repeat_window` and `delivery_bound` after `owned_since`. A declared first attempt runs,
+/// if the entry agent routed it by the present ownership (or did not say by which). An identity is
+/// remembered as long after its last use. When the ledger is full, new identities are refused; none
+/// is forgotten early.
 ///
 /// Life cycle: one for each service that the agent owns ranges of. `begin` before the attempt is
 /// sent to the upstream, `ended` once for every `may_run`.
@@ -109,15 +117,14 @@
   void ended(const request_descriptor& request, run_knowledge knowledge, already_answered answer,
              time_point now);
 
-  /// Returns the entries of a range, for the next owner in a planned move. Entries that still run
-  /// are given as `unknown`; the caller finishes the range before it exports.
-  [[nodiscard]] std::vector<ledger_entry> export_range(std::string_view service,
-                                                       const hash_range& range,
-                                                       time_point now) const;
+  /// Returns what the next owner of a range needs in a planned move. Entries that still run are
+  /// given as `unknown`; the shell finishes the range before it exports.
+  [[nodiscard]] ledger_hand_over export_range(std::string_view service, const hash_range& range,
+                                              time_point owned_since, time_point now) const;
 
-  /// Takes entries of an earlier owner in. Returns false, with none taken, if they do not fit: the
-  /// range then counts as taken over without a hand-over.
-  bool import_entries(const std::vector<ledger_entry>& entries, time_point now);
+  /// Takes over what an earlier owner knew. Returns the `owned_since` of the new ownership, or
+  /// nothing, with no entry taken, if the entries do not fit: `owned_since` is `now` then.
+  std::optional<time_point> import_range(const ledger_hand_over& given, time_point now);
 
   /// Forgets the entries of a range that now belongs to somebody else.
   void drop_range(std::string_view service, const hash_range& range);
--- a/src/decisions/requests/concurrency_limit.cpp
+++ b/src/decisions/requests/concurrency_limit.cpp
@@ -29,7 +29,10 @@
 constexpr std::uint32_t trial_pause_max = 64;
 constexpr double additive_latency_ratio_max = 1.5;
 constexpr double additive_decrease = 0.9;
-constexpr double shed_decrease = 0.9;
+constexpr double shed_decrease = 0.75;
+constexpr double shed_helped_share = 0.75;
+constexpr double shed_tolerance = 1.5;
+constexpr double tolerated_shed_decay = 0.99;
 constexpr double shed_share_max = 0.01;
 constexpr double timeout_decrease = 0.7;
 
@@ -65,14 +68,41 @@
                                             &concurrency_limit::end_gradient};
   const bool adapts = settings_.algorithm != limit_algorithm::fixed;
   if (adapts && timed_out_ > samples_ / 2) {
-    phase_ = phase::steady;
-    set_limit(limit_ * timeout_decrease);
+    end_timed_out();
+  } else if (limit_before_time_outs_ > 0) {
+    restore_after_time_outs();
   } else {
     (this->*rules[static_cast<std::size_t>(settings_.algorithm)])();
   }
   start_window();
 }
 
+void concurrency_limit::end_shed() {
+  const bool helped = shed_share() < shed_share_before_ * shed_helped_share;
+  if (limit_before_sheds_ > 0 && !helped) {
+    set_limit(limit_before_sheds_);
+    limit_before_sheds_ = 0;
+    shed_share_tolerated_ = shed_share() * shed_tolerance;
+    return;
+  }
+  limit_before_sheds_ = limit_;
+  shed_share_before_ = shed_share();
+  set_limit(std::min(limit_ - 1, limit_ * shed_decrease));
+  trial_pause_ = std::min(trial_pause_ * 2, trial_pause_max);
+  windows_until_trial_ = trial_pause_;
+}
+
+void concurrency_limit::end_timed_out() {
+  limit_before_time_outs_ = std::max(limit_before_time_outs_, limit_);
+  phase_ = phase::steady;
+  set_limit(limit_ * timeout_decrease);
+}
+
+void concurrency_limit::restore_after_time_outs() {
+  set_limit(limit_before_time_outs_);
+  limit_before_time_outs_ = 0;
+}
+
 void concurrency_limit::end_fixed() {}
 
 void concurrency_limit::end_additive() {
@@ -98,11 +128,11 @@
   }
   if (is_light()) learn_light_latency();
   if (sheds()) {
-    set_limit(std::min(limit_ - 1, limit_ * shed_decrease));
-    trial_pause_ = std::min(trial_pause_ * 2, trial_pause_max);
-    windows_until_trial_ = trial_pause_;
-  } else if (is_saturated()) {
-    end_saturated();
+    end_shed();
+  } else {
+    limit_before_sheds_ = 0;
+    shed_share_tolerated_ *= tolerated_shed_decay;
+    if (is_saturated()) end_saturated();
   }
   schedule_probe();
 }
@@ -196,7 +226,7 @@
 }
 
 bool concurrency_limit::sheds() const {
-  return shed_ > samples_ * shed_share_max;
+  return shed_share() > std::max(shed_share_max, shed_share_tolerated_);
 }
 
 bool concurrency_limit::light_is_unknown() const {
--- a/src/decisions/requests/repeat_ledger.cpp
+++ b/src/decisions/requests/repeat_ledger.cpp
@@ -53,10 +53,14 @@
   std::size_t answer_bytes = 0;
   ledger_counts counts;
 
+  [[nodiscard]] duration retention() const {
+    return settings.repeat_window + settings.delivery_bound;
+  }
+
   void expire(time_point now) {
     while (!by_last_use.empty()) {
       const auto found = entries.find(*by_last_use.front());
-      if (now - found->second.last_used < settings.repeat_window) return;
+      if (now - found->second.last_used < retention()) return;
       erase(found);
     }
   }
@@ -82,7 +86,7 @@
                                    time_point now) const {
     if (settings.faults.ignore_knowledge_gap || owner.owned_since == time_point::min())
       return false;
-    if (owner.ledger_handed_over || now - owner.owned_since >= settings.repeat_window) return false;
+    if (now - owner.owned_since >= retention()) return false;
     return !is_proved_first(request, owner);
   }
 
@@ -110,7 +114,7 @@
     if (entries.size() < settings.capacity) return true;
     if (!settings.faults.forget_when_full || by_last_use.empty()) return false;
     const auto oldest = entries.find(*by_last_use.front());
-    if (now - oldest->second.last_used < settings.repeat_window) ++counts.forgotten_early;
+    if (now - oldest->second.last_used < retention()) ++counts.forgotten_early;
     erase(oldest);
     return true;
   }
@@ -133,7 +137,7 @@
     added.running = false;
     added.caller = given.caller;
     added.knowledge = given.knowledge;
-    added.last_used = now - std::clamp(given.age, duration{}, settings.repeat_window);
+    added.last_used = now - std::clamp(given.age, duration{}, retention());
     place = std::find_if(place, by_last_use.end(), [&](const identity_key* other) {
       return entries.find(*other)->second.last_used > added.last_used;
     });
@@ -192,33 +196,36 @@
   if (knowledge == run_knowledge::answered) state_->keep_answer(found->second, std::move(answer));
 }
 
-std::vector<ledger_entry> repeat_ledger::export_range(std::string_view service,
-                                                      const hash_range& range,
-                                                      time_point now) const {
-  std::vector<ledger_entry> exported;
+ledger_hand_over repeat_ledger::export_range(std::string_view service, const hash_range& range,
+                                             time_point owned_since, time_point now) const {
+  ledger_hand_over exported;
+  if (owned_since != time_point::min()) exported.known_for = now - owned_since;
   const auto add = [&](const identity_key* key) {
     if (key->service != service || !range.contains(key->hash)) return;
     const remembered& entry = state_->entries.find(*key)->second;
-    exported.push_back({key->service, key->hash, key->identity, entry.caller, entry.knowledge,
-                        entry.running ? duration{} : now - entry.last_used, entry.answer});
+    exported.entries.push_back({key->service, key->hash, key->identity, entry.caller,
+                                entry.knowledge, entry.running ? duration{} : now - entry.last_used,
+                                entry.answer});
   };
   std::ranges::for_each(state_->by_last_use, add);
   std::ranges::for_each(state_->in_progress, add);
   return exported;
 }
 
-bool repeat_ledger::import_entries(const std::vector<ledger_entry>& entries, time_point now) {
+std::optional<time_point> repeat_ledger::import_range(const ledger_hand_over& given,
+                                                      time_point now) {
   state_->expire(now);
-  if (state_->entries.size() + entries.size() > state_->settings.capacity) return false;
+  if (state_->entries.size() + given.entries.size() > state_->settings.capacity)
+    return std::nullopt;
   std::vector<const ledger_entry*> oldest_first;
-  std::ranges::transform(entries, std::back_inserter(oldest_first),
+  std::ranges::transform(given.entries, std::back_inserter(oldest_first),
                          [](const ledger_entry& entry) { return &entry; });
   std::ranges::sort(oldest_first, std::ranges::greater{}, &ledger_entry::age);
   auto place = state_->by_last_use.begin();
-  std::ranges::for_each(oldest_first, [&](const ledger_entry* given) {
-    place = state_->import_after(place, *given, now);
+  std::ranges::for_each(oldest_first, [&](const ledger_entry* entry) {
+    place = state_->import_after(place, *entry, now);
   });
-  return true;
+  return given.known_for ? now - *given.known_for : time_point::min();
 }
 
 void repeat_ledger::drop_range(std::string_view service, const hash_range& range) {
--- /dev/null
+++ b/tests/decisions/requests/chain_test.cpp
@@ -0,0 +1,148 @@
+// Randomised runs of the whole request chain. Each promise is also broken on purpose, to show that
+// the run finds it.
+
+#include "decisions/requests/virtual_time/chain_run.h"
+#include "expect.h"
+
+using namespace masticshunt::testing;
+
+namespace {
+
+chain_settings seeded(std::uint64_t seed, std::uint64_t calls = 30'000) {
+  chain_settings settings;
+  settings.seed = seed;
+  settings.calls = calls;
+  return settings;
+}
+
+/// Two agents that pass two ranges to and fro, over links that break often.
+chain_settings to_and_fro() {
+  chain_settings settings = seeded(1, 20'000);
+  settings.agents = 2;
+  settings.ranges = 2;
+  settings.between_calls = std::chrono::milliseconds{1};
+  settings.between_moves = std::chrono::milliseconds{200};
+  settings.link_break_share = 0.2;
+  return settings;
+}
+
+std::uint64_t broken_promises(const chain_findings& found) {
+  return found.double_runs + found.false_not_run + found.foreign_answers + found.floors_broken +
+         found.queue_bounds_broken + found.late_starts + found.key_bounds_broken +
+         found.ledger_promises_broken;
+}
+
+}  // namespace
+
+Test(request_chain, keeps_every_promise_while_owners_change_and_upstreams_freeze) {
+  const chain_findings found = chain_run(seeded(1)).run();
+  expect_equal(broken_promises(found), 0U);
+  expect_true(found.runs > 10'000 && found.planned_moves > 50 && found.unplanned_moves > 5);
+  expect_true(found.freezes > 0 && found.late_answers_dropped > 0 &&
+              found.answered_from_ledger > 0);
+}
+
+Test(request_chain, keeps_every_promise_with_a_full_ledger) {
+  chain_settings settings = seeded(2);
+  settings.ledger_capacity = 200;
+  const chain_findings found = chain_run(settings).run();
+  expect_equal(broken_promises(found), 0U);
+  expect_true(found.ledger_size_max <= 200);
+}
+
+Test(request_chain, keeps_every_promise_while_ranges_pass_to_and_fro) {
+  expect_equal(broken_promises(chain_run(to_and_fro()).run()), 0U);
+}
+
+Test(request_chain, keeps_retries_within_their_budget) {
+  const chain_findings found = chain_run(seeded(3)).run();
+  expect_true(static_cast<double>(found.retries) <= 0.1 * static_cast<double>(found.attempts) + 40);
+}
+
+Test(request_chain, is_the_same_for_the_same_seed) {
+  const chain_findings one = chain_run(seeded(4, 2'000)).run();
+  const chain_findings two = chain_run(seeded(4, 2'000)).run();
+  expect_equal(one.runs, two.runs);
+  expect_equal(one.forwards, two.forwards);
+}
+
+Test(request_chain, finds_double_runs_of_a_ledger_that_forgets_unknown_ends) {
+  chain_settings settings = seeded(1);
+  settings.faults.ledger.forget_unknown = true;
+  expect_true(chain_run(settings).run().double_runs > 0);
+}
+
+Test(request_chain, finds_double_runs_of_a_ledger_that_forgets_when_full) {
+  chain_settings settings = seeded(1);
+  settings.ledger_capacity = 200;
+  settings.faults.ledger.forget_when_full = true;
+  const chain_findings found = chain_run(settings).run();
+  expect_true(found.double_runs > 0 && found.ledger_promises_broken > 0);
+}
+
+Test(request_chain, finds_double_runs_of_an_owner_that_ignores_its_knowledge_gap) {
+  chain_settings settings = seeded(1);
+  settings.faults.ledger.ignore_knowledge_gap = true;
+  expect_true(chain_run(settings).run().double_runs > 0);
+}
+
+Test(request_chain, finds_double_runs_of_an_owner_that_trusts_stale_routes) {
+  chain_settings settings = to_and_fro();
+  settings.calls = 60'000;
+  settings.faults.ledger.ignore_stale_route = true;
+  expect_true(chain_run(settings).run().double_runs > 0);
+}
+
+Test(request_chain, finds_double_runs_when_the_ledger_is_not_handed_over) {
+  chain_settings settings = seeded(1);
+  settings.faults.hide_hand_over = true;
+  expect_true(chain_run(settings).run().double_runs > 0);
+}
+
+Test(request_chain, finds_double_runs_of_an_owner_that_starts_work_after_its_range_moved) {
+  chain_settings settings = seeded(1, 60'000);
+  settings.faults.start_after_loss = true;
+  expect_true(chain_run(settings).run().double_runs > 0);
+}
+
+Test(request_chain, finds_refusals_that_claim_too_much) {
+  chain_settings settings = seeded(1);
+  settings.faults.claim_not_run = true;
+  expect_true(chain_run(settings).run().false_not_run > 0);
+}
+
+Test(request_chain, finds_entries_that_forget_lost_forwards) {
+  chain_settings settings = seeded(1);
+  settings.faults.retry_unproved = true;
+  expect_true(chain_run(settings).run().false_not_run > 0);
+}
+
+Test(request_chain, finds_answers_that_go_to_another_request) {
+  chain_settings settings = seeded(1);
+  settings.faults.deliver_any_answer = true;
+  expect_true(chain_run(settings).run().foreign_answers > 0);
+}
+
+Test(request_chain, finds_a_gate_that_ignores_floors) {
+  chain_settings settings = seeded(1);
+  settings.faults.gate.ignore_floors = true;
+  expect_true(chain_run(settings).run().floors_broken > 0);
+}
+
+Test(request_chain, finds_a_gate_that_lets_stalled_keys_spread) {
+  chain_settings settings = seeded(1);
+  settings.faults.gate.ignore_key_bound = true;
+  expect_true(chain_run(settings).run().key_bounds_broken > 0);
+}
+
+Test(request_chain, finds_a_gate_that_starts_work_after_its_deadline) {
+  chain_settings settings = seeded(1);
+  settings.faults.gate.ignore_deadlines = true;
+  expect_true(chain_run(settings).run().late_starts > 0);
+}
+
+Test(request_chain, finds_a_gate_without_a_queue_bound) {
+  chain_settings settings = seeded(1);
+  settings.faults.gate.ignore_queue_bound = true;
+  expect_true(chain_run(settings).run().queue_bounds_broken > 0);
+}
--- /dev/null
+++ b/tests/decisions/requests/virtual_time/chain_owner.h
@@ -0,0 +1,57 @@
+/// @file
+/// An owner in the randomised run: a gate, a ledger and a fake upstream with faults.
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "decisions/requests/virtual_time/chain_types.h"
+#include "masticshunt/decisions/requests/gate.h"
+#include "masticshunt/decisions/requests/repeat_ledger.h"
+
+namespace masticshunt::testing {
+
+/// A range as one agent sees its ownership.
+struct chain_range {
+  bool owned = false;
+  bool finishing = false;
+  requests::ownership_view view;
+};
+
+/// What the fake upstream will do with an attempt.
+struct upstream_plan {
+  time_point starts_at{};
+  duration service{};
+  bool answer_lost = false;
+  bool started = false;
+  bool cancelled = false;
+};
+
+/// One agent in its part as an owner.
+struct chain_owner {
+  chain_owner(const chain_settings& settings)
+      : gate(gate_of(settings)),
+        ledger({.repeat_window = settings.repeat_window,
+                .delivery_bound = settings.delivery_bound,
+                .capacity = settings.ledger_capacity,
+                .faults = settings.faults.ledger}),
+        ranges(settings.ranges) {}
+
+  static requests::gate_settings gate_of(const chain_settings& settings) {
+    requests::gate_settings made;
+    made.ranks = {{.name = "urgent", .floor = 0.5}, {.name = "batch", .floor = 0.3}};
+    made.slots = 12;
+    made.queue_capacity = 256;
+    made.faults = settings.faults.gate;
+    return made;
+  }
+
+  requests::gate gate;
+  requests::repeat_ledger ledger;
+  std::vector<chain_range> ranges;
+  std::unordered_map<std::uint32_t, upstream_plan> at_upstream;  ///< By forward.
+  time_point frozen_until = time_point::min();
+};
+
+}  // namespace masticshunt::testing
--- /dev/null
+++ b/tests/decisions/requests/virtual_time/chain_types.h
@@ -0,0 +1,115 @@
+/// @file
+/// Settings, faults and findings of the randomised run of the whole request chain.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "masticshunt/base/time.h"
+#include "masticshunt/decisions/requests/gate.h"
+#include "masticshunt/decisions/requests/repeat_ledger.h"
+#include "masticshunt/decisions/requests/retry.h"
+
+namespace masticshunt::testing {
+
+/// Promises that a run breaks on purpose.
+struct chain_faults {
+  requests::ledger_faults ledger;
+  requests::gate_faults gate;
+  bool claim_not_run = false;       ///< Every refusal says "not run".
+  bool retry_unproved = false;      ///< The entry forgets that a lost forward may have run.
+  bool hide_hand_over = false;      ///< The next owner gets no entries but trusts to know all.
+  bool deliver_any_answer = false;  ///< The entry passes late answers on to the connection's user.
+  bool start_after_loss = false;    ///< Waiting attempts start although the range moved away.
+};
+
+/// Settings of a run.
+struct chain_settings {
+  std::uint64_t seed = 1;
+  std::uint64_t calls = 50'000;  ///< Logical requests; each has up to five attempts.
+  std::uint32_t agents = 4;
+  std::uint32_t ranges = 8;
+  duration between_calls = std::chrono::microseconds{800};
+  duration repeat_window = std::chrono::seconds{4};
+  duration delivery_bound = std::chrono::milliseconds{2'500};
+  duration between_moves = std::chrono::milliseconds{200};
+  double link_break_share = 0.02;  ///< Of the forwards; what was sent arrives late.
+  double unplanned_share = 0.1;    ///< Of the moves.
+  duration between_freezes = std::chrono::seconds{10};
+  std::size_t ledger_capacity = 65'536;
+  chain_faults faults;
+};
+
+/// What a run found. The first eight must be zero.
+struct chain_findings {
+  std::uint64_t double_runs = 0;
+  std::uint64_t false_not_run = 0;
+  std::uint64_t foreign_answers = 0;
+  std::uint64_t floors_broken = 0;
+  std::uint64_t queue_bounds_broken = 0;
+  std::uint64_t late_starts = 0;
+  std::uint64_t key_bounds_broken = 0;
+  std::uint64_t ledger_promises_broken = 0;
+  std::uint64_t calls = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t forwards = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t runs = 0;
+  std::uint64_t served = 0;
+  std::uint64_t told_not_run = 0;
+  std::uint64_t told_may_have_run = 0;
+  std::uint64_t late_answers_dropped = 0;
+  std::uint64_t answered_from_ledger = 0;
+  std::uint64_t planned_moves = 0;
+  std::uint64_t unplanned_moves = 0;
+  std::uint64_t freezes = 0;
+  std::size_t ledger_size_max = 0;
+};
+
+/// A logical request of a caller: repeated with one identity until the caller is content.
+struct chain_call {
+  bool idempotent = false;
+  bool declares = false;  ///< States its attempt numbers.
+  std::uint32_t caller = 0;
+  key_hash key = 0;
+  time_point first_sent{};
+  std::uint32_t attempts = 0;
+  std::uint32_t not_run_told = 0;  ///< The highest attempt that was told "not run".
+  std::uint32_t runs = 0;
+  std::uint32_t first_attempt_run = 0;  ///< The lowest attempt that a run came from.
+  bool content = false;
+};
+
+/// One attempt of a call at an entry agent.
+struct chain_attempt {
+  std::uint32_t call = 0;
+  std::uint32_t number = 0;
+  std::uint32_t entry = 0;
+  duration allowed{};
+  time_point deadline = time_point::max();  ///< By the entry's clock, once it has arrived.
+  std::uint32_t forwards = 0;
+  bool unproved = false;  ///< A forward of it may have run.
+  bool open = true;       ///< The entry has not told its outcome.
+  bool heard = false;     ///< The caller has heard an outcome.
+};
+
+/// One sending of an attempt from its entry to an owner.
+struct chain_forward {
+  std::uint32_t attempt = 0;
+  std::uint32_t number = 0;
+  std::uint32_t owner = 0;
+  fence_token fence{};
+  time_point deadline{};  ///< By the owner's clock, once it has arrived.
+};
+
+/// What an owner tells an entry about a forward.
+struct chain_reply {
+  std::uint32_t forward = 0;
+  requests::outcome what = requests::outcome::not_run;
+  requests::refusal_reason reason = requests::refusal_reason::none;
+  duration retry_after{};
+  std::uint32_t body = 0;  ///< The call whose work the answer holds.
+};
+
+}  // namespace masticshunt::testing
