Check the gate by random events, and add the chain, link and connection runs to the bench

Cause: a random run of gate events showed an attempt cancelled twice when its caller left after its deadline.

--- a/include/masticshunt/decisions/requests/link_budget.h
+++ b/include/masticshunt/decisions/requests/link_budget.h
@@ -17,7 +17,7 @@
 /// Settings of a link: one agent's share of it.
 struct link_settings {
   double bytes_per_second = 500e6;  ///< 4 Gbit/s.
-  duration burst = std::chrono::milliseconds{10};
+  duration burst = std::chrono::milliseconds{2};
   double lookup_reserve = 0.5;  ///< Part of the burst that bulk leaves to lookups.
   std::uint32_t connections = 120;
   std::uint32_t connections_for_lookups = 30;  ///< Of these, kept free of bulk.
--- a/src/decisions/requests/gate.cpp
+++ b/src/decisions/requests/gate.cpp
@@ -48,8 +48,9 @@
   state_->advance(now);
   const pool_index place = state_->attempts.find(attempt);
   if (place != no_index) {
-    if (state_->attempts.at(place).place == attempt_place::running) {
-      state_->attempts.set_expiry(place, now);
+    const attempt_entry& entry = state_->attempts.at(place);
+    if (entry.place == attempt_place::running) {
+      if (!entry.cancelled) state_->attempts.set_expiry(place, now);
     } else {
       state_->forget_waiting(place);
     }
--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -300,8 +300,9 @@
   for (pool_index place = attempts.first_to_expire();
        place != no_index && attempts.at(place).expires_at <= now;
        place = attempts.first_to_expire()) {
-    const attempt_entry& entry = attempts.at(place);
+    attempt_entry& entry = attempts.at(place);
     if (entry.place == attempt_place::running) {
+      entry.cancelled = true;
       actions.emplace_back(cancel_attempt{entry.attempt});
       ++counts.cancelled;
       attempts.set_expiry(place, time_point::max());
--- a/src/decisions/requests/internal/attempt_pool.h
+++ b/src/decisions/requests/internal/attempt_pool.h
@@ -35,7 +35,8 @@
   std::uint32_t heap_position = 0;
   std::uint32_t rank = 0;
   attempt_place place = attempt_place::queued;
-  bool overdue = false;  ///< Runs much longer than usual for its rank.
+  bool overdue = false;    ///< Runs much longer than usual for its rank.
+  bool cancelled = false;  ///< Was told to end; its end is still to be reported.
 };
 
 /// A list of attempts; the links are in the entries, and an entry is in one list at a time.
--- a/tests/decisions/requests/gate_test.cpp
+++ b/tests/decisions/requests/gate_test.cpp
@@ -127,6 +127,13 @@
   expect_equal(count_of<cancel_attempt>(f.subject.abandoned(1, at({}))), 1U);
 }
 
+Test(gate, does_not_cancel_an_attempt_twice) {
+  gate_fixture f;
+  f.offer(1);
+  f.subject.tick(at(seconds{10}));
+  expect_equal(count_of<cancel_attempt>(f.subject.abandoned(1, at(seconds{11}))), 0U);
+}
+
 Test(gate, forgets_a_waiting_attempt_whose_caller_left) {
   gate_fixture f;
   f.offer(5);
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -1,7 +1,8 @@
 /// @file
 /// Compares the request policies with a naive version on the same traces in virtual time.
 ///
-///     policy_bench --seed 1 [--csv FILE]
+///     policy_bench --seed 1 [--csv FILE] [--variants]   all targets; with other settings too
+///     policy_bench --seed 1 --chain 1000000             randomised requests through the chain
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -13,6 +14,9 @@
 #include <string>
 #include <vector>
 
+#include "decisions/requests/virtual_time/chain_run.h"
+#include "decisions/requests/virtual_time/connection_run.h"
+#include "decisions/requests/virtual_time/link_run.h"
 #include "decisions/requests/virtual_time/policy_run.h"
 
 namespace {
@@ -42,6 +46,7 @@
   std::uint64_t seed = 1;
   std::string csv;
   bool variants = false;
+  std::uint64_t chain_calls = 0;
 };
 
 /// One line of the table.
@@ -249,9 +254,72 @@
   return rows;
 }
 
+/// Prints what a link budget does for lookups beside large bodies.
+void print_links(std::uint64_t seed) {
+  std::printf("\n%-44s %12s %12s\n", "link of 4 Gbit/s", "lookup p99", "bulk share");
+  const auto print = [](const char* name, const link_result& result) {
+    std::printf("%-44s %9.3f ms %11.1f%%\n", name, milliseconds_of(result.lookup_p99),
+                100 * result.bulk_share);
+  };
+  print("lookups alone", run_link(true, seed, false));
+  print("with large bodies, naive", run_link(false, seed));
+  print("with large bodies, budget", run_link(true, seed));
+}
+
+/// Prints what hedging and outlier detection do against a connection that went silent.
+void print_connections(std::uint64_t seed) {
+  std::printf("\n%-44s %9s %9s %9s %9s\n", "one of eight connections silent", "p50 ms", "p99 ms",
+              "failed", "extra");
+  const auto print = [&](const char* name, bool hedges, bool detects) {
+    const connection_result result =
+        connection_run({.hedges = hedges, .detects = detects, .seed = seed}).run();
+    std::printf("%-44s %9.1f %9.1f %9u %8.2f%%\n", name, milliseconds_of(result.p50),
+                milliseconds_of(result.p99), result.failed, 100 * result.extra_attempts);
+  };
+  print("neither", false, false);
+  print("hedging", true, false);
+  print("outlier detection", false, true);
+  print("both", true, true);
+}
+
+/// Runs randomised requests through the whole chain and checks every promise.
+int run_chain(const options& given) {
+  chain_settings settings;
+  settings.seed = given.seed;
+  settings.calls = given.chain_calls;
+  const chain_findings found = chain_run(settings).run();
+  std::printf(
+      "requests %lu, attempts %lu, forwards %lu, runs %lu, served %lu, told not-run %lu, "
+      "told may-have-run %lu\n",
+      found.calls, found.attempts, found.forwards, found.runs, found.served, found.told_not_run,
+      found.told_may_have_run);
+  std::printf(
+      "planned moves %lu, unplanned moves %lu, freezes %lu, late answers dropped %lu, "
+      "answered from the ledger %lu, identities at most %zu\n\n",
+      found.planned_moves, found.unplanned_moves, found.freezes, found.late_answers_dropped,
+      found.answered_from_ledger, found.ledger_size_max);
+  verdicts all;
+  const auto none = [&](const char* name, std::uint64_t count) {
+    all.at_most(name, static_cast<double>(count), 0);
+  };
+  none("chain: identities that ran twice", found.double_runs);
+  none("chain: false not-run", found.false_not_run);
+  none("chain: answers to another request", found.foreign_answers);
+  none("chain: floors broken", found.floors_broken);
+  none("chain: queue bounds broken", found.queue_bounds_broken);
+  none("chain: starts after the deadline", found.late_starts);
+  none("chain: stalled keys with a second slot", found.key_bounds_broken);
+  none("chain: ledger bounds broken", found.ledger_promises_broken);
+  all.at_most("chain: retries per attempt",
+              static_cast<double>(found.retries) / static_cast<double>(found.attempts), 0.1);
+  return all.missed() == 0 ? 0 : 1;
+}
+
 int bench(const options& given) {
   std::vector<figure_row> rows = run_all(given);
   if (!given.csv.empty()) write_csv(given.csv, rows);
+  print_links(given.seed);
+  print_connections(given.seed);
   verdicts all;
   std::printf("\n%-72s target      figure\n", "target");
   for (const deployment& where : {imhof(), llyfrnod()}) {
@@ -274,7 +342,8 @@
     if (arguments[i] == "--variants") given.variants = true;
     if (i + 1 == arguments.size()) continue;
     if (arguments[i] == "--seed") given.seed = std::stoull(arguments[i + 1]);
+    if (arguments[i] == "--chain") given.chain_calls = std::stoull(arguments[i + 1]);
     if (arguments[i] == "--csv") given.csv = arguments[i + 1];
   }
-  return bench(given);
+  return given.chain_calls > 0 ? run_chain(given) : bench(given);
 }
