--- a/include/masticshunt/agent/settings.h
+++ b/include/masticshunt/agent/settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "masticshunt/base/failure.h"
 #include "masticshunt/decisions/ownership/types.h"
@@ -25,6 +26,17 @@
   std::chrono::milliseconds caller_idle_age{60'000};  ///< Of callers' connections.
 };
 
+/// How an agent writes its log.
+struct log_settings {
+  std::string level = "info";        ///< trace, debug, info, warn, error or off.
+  std::string format = "key-value";  ///< key-value or json.
+};
+
+/// The share of the links between regions that this agent may use.
+struct link_share_settings {
+  std::uint64_t bytes_per_second = 500'000'000;  ///< 4 Gbit/s.
+};
+
 /// Everything an agent is told before it starts. Port 0 takes any free port.
 struct agent_settings {
   std::string name;
@@ -42,6 +54,27 @@
   limit_settings limits;
   ownership::lease_timing lease;
   requests::retry_settings retry;
+  log_settings log;
+  link_share_settings link;
 };
 
+/// Reads settings from INI text; `file` names it in errors. Every key is checked for its name,
+/// unit and range, and the lease timing for consistency.
+/// Returns the settings, or nothing with `reason` filled: file, line, fault and remedy.
+std::optional<agent_settings> parse_agent_settings(std::string_view file, std::string_view text,
+                                                   failure& reason);
+
+/// Reads settings from the INI file at `path`.
+std::optional<agent_settings> load_agent_settings(const std::string& path, failure& reason);
+
+/// Describes one setting, for the documentation's test and for remedies.
+struct setting_description {
+  std::string_view section;
+  std::string_view key;
+  bool required = false;
+};
+
+/// Returns all settings in the order of docs/SETTINGS.md.
+std::vector<setting_description> setting_descriptions();
+
 }  // namespace masticshunt::agent
--- a/src/decisions/ownership/page.cpp
+++ b/src/decisions/ownership/page.cpp
@@ -66,9 +66,8 @@
 }
 
 const agent_description* find_member(const assignment_page& page, std::string_view name) {
-  const auto found = std::ranges::find(page.members, name, [](const auto& member) {
-    return std::string_view(member.id.name);
-  });
+  const auto found = std::ranges::find(
+      page.members, name, [](const auto& member) { return std::string_view(member.id.name); });
   return found == page.members.end() ? nullptr : &*found;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,8 +6,11 @@
 #include <cstdio>
 #include <iterator>
 
+#include "masticshunt/agent/run.h"
+#include "masticshunt/agent/settings.h"
 #include "masticshunt/operator/command.h"
 #include "masticshunt/platform/store_stand_in.h"
+#include "masticshunt/support/log.h"
 
 namespace {
 
@@ -22,6 +25,18 @@
   return exit_ok;
 }
 
+int run_agent_command(const arguments& with) {
+  masticshunt::failure reason;
+  const auto settings =
+      masticshunt::agent::load_agent_settings(text_argument(with, "--config").value_or(""), reason);
+  if (!settings) {
+    std::fprintf(stderr, "masticshunt: %s\n", reason.describe().c_str());
+    return exit_usage;
+  }
+  masticshunt::support::configure_log(settings->log.level, settings->log.format);
+  return masticshunt::agent::run_agent(*settings);
+}
+
 int run_store_stand_in(const arguments& with) {
   const auto text = text_argument(with, "--port").value_or("");
   std::uint16_t port = 0;
@@ -41,6 +56,10 @@
 }
 
 constexpr std::array local_commands{
+    command{"agent", "Runs the agent beside one upstream",
+            "  masticshunt agent --config=FILE\n\nOptions:\n"
+            "  --config=FILE  The agent's settings.\n",
+            &run_agent_command},
     command{"store-stand-in", "Runs an in-memory stand-in of the platform's store",
             "  masticshunt store-stand-in [--port=N]\n\nOptions:\n"
             "  --port=N  The port on 127.0.0.1 [default: 4700].\n",
--- /dev/null
+++ b/tests/support/units_test.cpp
@@ -0,0 +1,31 @@
+#include "masticshunt/support/units.h"
+
+#include "expect.h"
+
+using namespace masticshunt::support;
+using namespace std::chrono_literals;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_false;
+using masticshunt::testing::expect_true;
+
+Test(duration_from, reads_whole_numbers_with_a_unit_only) {
+  expect_true(duration_from("250ms") == 250ms);
+  expect_true(duration_from("2m") == 2min);
+  for (const auto* text :
+       {"", "5", "ms", "-1s", "1.5s", "1 s", "99999999999999999999s", "9223372036854775807h"}) {
+    expect_false(duration_from(text).has_value(), text);
+  }
+}
+
+Test(size_from, reads_powers_of_1024) {
+  expect_equal(*size_from("64KiB"), 65'536U);
+  expect_false(size_from("64KB").has_value());
+  expect_false(size_from("64").has_value());
+}
+
+Test(share_from, reads_fractions_and_percents) {
+  expect_equal(*share_from("25%"), 0.25);
+  expect_equal(*share_from("0.25"), 0.25);
+  expect_false(share_from("nan").has_value());
+  expect_false(share_from("%").has_value());
+}
