--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -114,8 +114,8 @@
     setting{"retry", "backoff_max", member<&self::retry, &retry::backoff_max>(), 1, minute_ms},
     setting{"log", "level", member<&self::log, &log_settings::level>(), 1, 16},
     setting{"log", "format", member<&self::log, &log_settings::format>(), 1, 16},
-    setting{"link", "bytes_per_second",
-            member<&self::link, &link_share_settings::bytes_per_second>(), 1'000, 1e11},
+    setting{"link", "bandwidth", member<&self::link, &link_share_settings::bytes_per_second>(),
+            1'000, 1e11},
 };
 
 std::string bounds_text(const setting& what, const std::string& form) {
--- a/tests/agent/settings_test.cpp
+++ b/tests/agent/settings_test.cpp
@@ -43,7 +43,8 @@
 
 Test(agent_settings, sample_is_valid_and_states_every_key) {
   failure reason;
-  expect_true(parse_agent_settings("sample", sample(), reason).has_value(), reason.describe());
+  const auto settings = parse_agent_settings("sample", sample(), reason);
+  expect_true(settings.has_value(), reason.describe());
   const auto document = support::parse_ini("sample", sample(), reason);
   for (const auto& each : setting_descriptions()) {
     const auto* const section = document->find(each.section);
