--- a/include/masticshunt/decisions/ownership/routing_table.h
+++ b/include/masticshunt/decisions/ownership/routing_table.h
@@ -26,9 +26,10 @@
 
 /// The owners of all ranges of all services, kept page by page.
 ///
-/// Each page keeps its members once and its ranges in 32 bytes each, sorted; a lookup is a binary
-/// search over the pages of the service and one over the ranges of the page, and allocates
-/// nothing. The ranges of one page must not interleave with those of another page.
+/// Each page keeps its members once and its ranges in 32 bytes each, sorted. Hashes are spread
+/// evenly, so a lookup starts where the hash would lie among even ranges and searches outwards
+/// from there, first over the pages of the service and then over the ranges of the page. It
+/// allocates nothing. The ranges of one page must not interleave with those of another page.
 ///
 /// Life cycle: construct empty; `apply` each page as it arrives, in any order.
 /// Thread safety: none; concurrent `find` calls are safe while nobody applies.
@@ -54,8 +55,7 @@
   [[nodiscard]] std::size_t range_bytes() const;
 
  private:
-  struct compact_range {
-    key_hash first = 0;
+  struct range_owner {
     fence_token token;
     std::uint32_t owner = 0;  ///< Index into the page's members, or `nobody`.
   };
@@ -64,7 +64,8 @@
     std::uint64_t version = 0;
     key_hash last = 0;  ///< The end of the page's last range.
     std::vector<agent_description> members;
-    std::vector<compact_range> ranges;  ///< Never empty; gaps are ranges of nobody.
+    std::vector<key_hash> firsts;     ///< Of the ranges; never empty. Gaps are ranges of nobody.
+    std::vector<range_owner> owners;  ///< In the order of `firsts`.
   };
   struct service_table {
     std::vector<key_hash> firsts;  ///< The first hash of each page; searched before `pages`.
--- a/include/masticshunt/decisions/ownership/spread.h
+++ b/include/masticshunt/decisions/ownership/spread.h
@@ -133,7 +133,7 @@
 
   struct held_object {
     versioned_object object;
-    std::deque<value_patch> patches;  ///< The way here from earlier versions, oldest first.
+    std::vector<value_patch> patches;  ///< The way here from earlier versions, oldest first.
   };
   struct neighbour {
     bool chosen = false;  ///< By this agent; otherwise the other side chose.
@@ -172,9 +172,9 @@
   void take(const endpoint& from, const spread_digest& what, time_point now, spread_output& out);
 
   [[nodiscard]] std::uint64_t version_of(object_key key) const;
-  bool adopt(versioned_object object, std::deque<value_patch> patches, time_point now);
-  std::deque<value_patch> patches_towards(const held_object& held,
-                                          const versioned_object& next) const;
+  bool adopt(versioned_object object, std::vector<value_patch> patches, time_point now);
+  std::vector<value_patch> patches_towards(const held_object& held,
+                                           const versioned_object& next) const;
   void count_in_digest(const versioned_object& object);
   void purge_tombstones(time_point now);
 
--- a/src/decisions/ownership/spread.cpp
+++ b/src/decisions/ownership/spread.cpp
@@ -20,7 +20,7 @@
   return value ^ (value >> 31);
 }
 
-std::size_t steps_bytes(const std::deque<value_patch>& patches) {
+std::size_t steps_bytes(const std::vector<value_patch>& patches) {
   std::size_t bytes = 0;
   for (const auto& patch : patches) bytes += patch.steps.size();
   return bytes;
@@ -126,7 +126,7 @@
   root_hash_ ^= hash;
 }
 
-bool spread::adopt(versioned_object object, std::deque<value_patch> patches, time_point now) {
+bool spread::adopt(versioned_object object, std::vector<value_patch> patches, time_point now) {
   const auto key = object_key_of(object.name);
   auto place = objects_.find(key);
   if (object.version <= version_of(key)) return false;
@@ -157,8 +157,8 @@
   return true;
 }
 
-std::deque<value_patch> spread::patches_towards(const held_object& held,
-                                                const versioned_object& next) const {
+std::vector<value_patch> spread::patches_towards(const held_object& held,
+                                                 const versioned_object& next) const {
   const auto& old_value = held.object.value;
   if (old_value.size() < patched_value_bytes_min || next.deleted) return {};
   value_patch patch{held.object.version, next.version, object_key_of(next.value),
@@ -167,7 +167,7 @@
   auto patches = held.patches;
   patches.push_back(std::move(patch));
   while (patches.size() > patches_kept_max || steps_bytes(patches) * 2 > next.value.size()) {
-    patches.pop_front();
+    patches.erase(patches.begin());
   }
   return patches;
 }
--- a/src/decisions/ownership/spread_exchange.cpp
+++ b/src/decisions/ownership/spread_exchange.cpp
@@ -82,7 +82,7 @@
   if (part.version <= held_version || forgotten || part.total_bytes > value_bytes_max) return;
   const bool is_patched = !part.patches.empty();
   std::optional<versioned_object> object;
-  std::deque<value_patch> patches;
+  std::vector<value_patch> patches;
   if (is_patched) {
     object = patched(part);
     if (!object) {
--- a/tests/decisions/ownership/routing_table_test.cpp
+++ b/tests/decisions/ownership/routing_table_test.cpp
@@ -109,3 +109,20 @@
   expect_equal(owner_of(table, 0), "a");
   expect_equal(owner_of(table, ~key_hash{0}), "a");
 }
+
+Test(routing_table, finds_every_range_of_a_page_with_uneven_ranges) {
+  routing_table table;
+  auto page = page_of(0, 1, 0, "a");
+  page.ranges.clear();
+  key_hash first = 5;
+  for (std::uint64_t index = 0; index < 60; ++index) {
+    const key_hash last = first + (key_hash{1} << index % 40);
+    page.ranges.push_back({{first, last}, {index % 2 == 0 ? "a" : "b", 1}, {1, index}});
+    first = last + 1;
+  }
+  table.apply(page);
+  for (const auto& range : page.ranges) {
+    expect_true(table.find("ledger", range.range.first)->range == range.range);
+    expect_true(table.find("ledger", range.range.last)->range == range.range);
+  }
+}
