--- a/src/decisions/ownership/messages.cpp
+++ b/src/decisions/ownership/messages.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "internal/cbor_nesting.h"
 #include "internal/json_codec.h"
 
 namespace masticshunt::ownership {
@@ -12,6 +13,9 @@
 
 using nlohmann::json;
 
+/// More levels than any message of this build has.
+constexpr std::size_t nesting_max = 32;
+
 /// Reads the body of one type of message.
 struct message_reader {
   std::string_view type;
@@ -55,6 +59,10 @@
 }
 
 std::optional<envelope> decode(std::string_view bytes, failure& reason) {
+  if (!nests_within(bytes, nesting_max)) {
+    reason = malformed("no CBOR, or nested too deeply");
+    return std::nullopt;
+  }
   try {
     const json read = json::from_cbor(bytes.begin(), bytes.end());
     const auto type = read.at("t").get<std::string>();
