--- a/include/masticshunt/bench/load_generator.h
+++ b/include/masticshunt/bench/load_generator.h
@@ -46,6 +46,7 @@
 
 /// What a load consists of and where it goes.
 struct load_settings {
+  std::string name = "load";     ///< Part of all identities; makes those of two loads differ.
   std::vector<endpoint> agents;  ///< Caller endpoints; each request picks one.
   schedule_settings schedule;
   std::chrono::milliseconds warm_up{0};  ///< Requests scheduled before this are not counted.
@@ -84,7 +85,8 @@
 struct label_result {
   std::string label;
   std::uint64_t offered = 0;
-  std::uint64_t repeats = 0;  ///< Attempts after the first.
+  std::uint64_t repeats = 0;    ///< Attempts after the first.
+  std::uint64_t completed = 0;  ///< Served requests that ended within the measured time.
   std::array<std::uint64_t, attempt_end_count> ends{};
   latency_histogram latency;                   ///< Of served requests, from the scheduled time.
   latency_histogram refusal_latency;           ///< Of refused requests.
@@ -107,7 +109,9 @@
 
   /// Returns the result of `label`, or an empty one.
   [[nodiscard]] label_result of(std::string_view label) const;
-  /// Returns the served requests a second of `label`.
+  /// Returns the requests a second of `label` that arrived.
+  [[nodiscard]] double demand(std::string_view label) const;
+  /// Returns the served requests a second of `label`, counted when they ended.
   [[nodiscard]] double goodput(std::string_view label) const;
   /// Returns the served requests a second of all labels.
   [[nodiscard]] double goodput() const;
--- a/include/masticshunt/bench/report.h
+++ b/include/masticshunt/bench/report.h
@@ -14,6 +14,10 @@
 /// Returns one row for each label: offered, served a second, latencies and outcomes.
 std::string to_table(const load_result& result);
 
+/// Returns one line for each way in which attempts ended without being served, with its reason and
+/// count, the most frequent first.
+std::string to_reasons(const load_result& result);
+
 /// Returns the header line of `to_csv`.
 std::string csv_header();
 
--- a/include/masticshunt/upstream/stand_in.h
+++ b/include/masticshunt/upstream/stand_in.h
@@ -91,9 +91,10 @@
 struct stand_in_counts {
   std::uint64_t runs = 0;
   std::uint64_t shed = 0;
-  std::uint64_t fenced = 0;      ///< Refused for a stale fence.
-  std::uint64_t late = 0;        ///< Refused because the deadline had passed.
-  std::uint64_t cut_bodies = 0;  ///< Requests whose body ended early; they did not run.
+  std::uint64_t fenced = 0;               ///< Refused for a stale fence.
+  std::uint64_t late = 0;                 ///< Refused because the deadline had passed.
+  std::uint64_t cut_bodies = 0;           ///< Requests whose body ended early; they did not run.
+  std::uint64_t connections_refused = 0;  ///< Connections beyond the announced number.
   std::uint32_t busy = 0;
   std::uint32_t queued = 0;
   std::uint32_t connections = 0;
--- a/src/bench/load_generator.cpp
+++ b/src/bench/load_generator.cpp
@@ -137,7 +137,8 @@
   request.answer_bytes = kind.answer_bytes;
   request.direct = settings_.direct;
   if (!is_idempotent(kind.method)) {
-    request.identity = "i" + std::to_string(settings_.schedule.seed) + "-" + std::to_string(number);
+    request.identity = settings_.name + "-i" + std::to_string(settings_.schedule.seed) + "-" +
+                       std::to_string(number);
   }
   return request;
 }
@@ -160,7 +161,7 @@
   while (true) {
     agent = pick_agent(agent, owner_hint);
     request.attempt = sent_before + 1;
-    request.request_id = "r" + std::to_string(settings_.schedule.seed) + "-" +
+    request.request_id = settings_.name + "-r" + std::to_string(settings_.schedule.seed) + "-" +
                          std::to_string(number) + "-" + std::to_string(log.attempts.size() + 1);
     log.body_hash = request.body_bytes > 0 ? hash_of_body(request) : 0;
     auto ended = co_await attempt(request, agent, what.kind, deadline, owner_hint);
@@ -224,7 +225,10 @@
   connection_pool* connections = pool(agent, kind);
   if (!connections) co_return log;
   auto connection = co_await connections->take(deadline);
-  if (!connection) co_return log;
+  if (!connection) {
+    log.reason = "no connection within the deadline";
+    co_return log;
+  }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       deadline - std::chrono::steady_clock::now());
   request.time_left = std::max(left, std::chrono::milliseconds(1));
@@ -252,6 +256,8 @@
   auto& label = result_.labels[label_index(settings_.schedule.kinds[log.kind].label())];
   if (log.how() == attempt_end::served) {
     ++label.served_per_slot[static_cast<std::size_t>(log.scheduled / result_slot)];
+    const bool measured = settings_.warm_up <= log.ended && log.ended < settings_.schedule.duration;
+    label.completed += measured ? 1 : 0;
   }
   if (log.scheduled < settings_.warm_up) return;
   ++label.offered;
--- a/src/bench/load_result.cpp
+++ b/src/bench/load_result.cpp
@@ -5,6 +5,14 @@
 
 namespace masticshunt::bench {
 
+namespace {
+
+double seconds_of(std::chrono::nanoseconds time) {
+  return std::max(std::chrono::duration<double>(time).count(), 1e-9);
+}
+
+}  // namespace
+
 std::string_view to_string(attempt_end how) {
   constexpr std::array<std::string_view, attempt_end_count> names = {
       "served", "not-run", "may-have-run", "failed",
@@ -17,9 +25,12 @@
   return place == labels.end() ? label_result{} : *place;
 }
 
+double load_result::demand(std::string_view label) const {
+  return static_cast<double>(of(label).offered) / seconds_of(measured);
+}
+
 double load_result::goodput(std::string_view label) const {
-  const double seconds = std::chrono::duration<double>(measured).count();
-  return static_cast<double>(of(label).count(attempt_end::served)) / std::max(seconds, 1e-9);
+  return static_cast<double>(of(label).completed) / seconds_of(measured);
 }
 
 double load_result::goodput() const {
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <map>
 
 namespace masticshunt::bench {
 
@@ -97,6 +99,21 @@
   return text;
 }
 
+std::string to_reasons(const load_result& result) {
+  std::map<std::string, std::uint64_t> counts;
+  for (const auto& request : result.log) {
+    for (const auto& attempt : request.attempts) {
+      if (attempt.how == attempt_end::served) continue;
+      ++counts[fmt::format("{} {} {}", to_string(attempt.how), attempt.status, attempt.reason)];
+    }
+  }
+  std::vector<std::pair<std::string, std::uint64_t>> sorted(counts.begin(), counts.end());
+  std::ranges::stable_sort(sorted, std::greater{}, [](const auto& each) { return each.second; });
+  std::string text;
+  for (const auto& [how, count] : sorted) text += fmt::format("  {:>8} x {}\n", count, how);
+  return text;
+}
+
 std::string csv_header() {
   return "scenario,label,offered,served_per_s,p50_ms,p99_ms,p999_ms,not_run,may_have_run,failed,"
          "cut,timed_out,unreachable,broken_promise,repeats\n";
--- a/src/upstream/internal/stand_in_state.h
+++ b/src/upstream/internal/stand_in_state.h
@@ -2,6 +2,7 @@
 /// What a stand-in knows: faults, fences, runs and counts, without any I/O.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -64,10 +65,11 @@
   /// Ends all runs as lost and forgets the fences. The incarnation rises.
   void lose_everything(time_point now);
 
-  /// Counts one request that was shed, or refused as late, or whose body was cut.
+  /// Counts one request that was shed, refused as late or cut, or one refused connection.
   void count_shed();
   void count_late();
   void count_cut_body();
+  void count_refused_connection();
 
   [[nodiscard]] std::uint64_t incarnation() const;
   [[nodiscard]] std::vector<run_record> records() const;
@@ -79,7 +81,7 @@
   stand_in_faults faults_;
   std::mt19937_64 random_;
   std::map<std::string, fence_token> fences_;  ///< Highest fence seen by key.
-  std::vector<run_record> records_;
+  std::deque<run_record> records_;
   std::vector<std::uint64_t> running_;  ///< Numbers of recorded runs that have not ended.
   stand_in_counts counts_;
   std::uint64_t incarnation_;
--- a/src/upstream/stand_in.cpp
+++ b/src/upstream/stand_in.cpp
@@ -170,7 +170,10 @@
     auto [error] = co_await acceptor_.async_accept(socket, as_result);
     if (life != life_) co_return;
     if (error) continue;
-    if (open_ >= settings_.connections + spare_connections) continue;
+    if (open_ >= settings_.connections + spare_connections) {
+      state.count_refused_connection();
+      continue;
+    }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
--- a/src/upstream/stand_in_state.cpp
+++ b/src/upstream/stand_in_state.cpp
@@ -216,6 +216,11 @@
   ++counts_.cut_bodies;
 }
 
+void stand_in_state::count_refused_connection() {
+  const std::lock_guard lock(mutex_);
+  ++counts_.connections_refused;
+}
+
 std::uint64_t stand_in_state::incarnation() const {
   const std::lock_guard lock(mutex_);
   return incarnation_;
@@ -223,7 +228,7 @@
 
 std::vector<run_record> stand_in_state::records() const {
   const std::lock_guard lock(mutex_);
-  return records_;
+  return {records_.begin(), records_.end()};
 }
 
 stand_in_counts stand_in_state::counts() const {
