Hold a request while its key changes owner, outside the retry budget

Cause: requests that met a range between two owners used up three blind retries (20 ms back-off, then 1 s), which showed as p99 of 110-120 ms for look-ups and 2.0 s for bookings around a drain and a loss; a drained agent also refused callers that it could still route for. Change: the entry waits for its routing table to name another owner or token, bounded by the deadline, 5 s and 1,024 requests a worker; these attempts reached no upstream and cost no retry budget. A drained agent stays an entry; a stopping one closes connections with its answers.

--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -156,7 +156,7 @@
                           {"control", self_.control},
                           {"config_revision", tables_->config_revision()},
                           {"accepts_callers", tables_->accepts_callers()},
-                          {"stopping", stop_asked_.load()},
+                          {"stopping", stage_ != life_stage::serving},
                           {"running", tables_->running()}};
   if (announced_) {
     state["upstream"] = {{"service", announced_->service}, {"address", announced_->address}};
@@ -173,6 +173,7 @@
   add_counter(text, "requests_total", "{outcome=\"failed\"}", counts.failed);
   add_counter(text, "forwarded_total", "", counts.forwarded);
   add_counter(text, "retries_total", "", counts.retries);
+  add_counter(text, "redirects_total", "", counts.redirects);
   const auto control = control_->counts();
   add_counter(text, "control_messages_total", "{direction=\"sent\"}", control.messages_sent);
   add_counter(text, "control_messages_total", "{direction=\"received\"}",
--- a/src/agent/internal/agent_implementation.cpp
+++ b/src/agent/internal/agent_implementation.cpp
@@ -151,7 +151,7 @@
   asio::post(on.context, [this, &on, from, socket = std::move(socket)]() mutable {
     auto started =
         std::make_shared<session>(on, *tables_, session_settings_, std::move(socket), from);
-    asio::co_spawn(on.context, started->run(stopping_), asio::detached);
+    asio::co_spawn(on.context, started->run(stage_), asio::detached);
   });
 }
 
@@ -166,7 +166,8 @@
 }
 
 void agent::implementation::request_stop() {
-  if (stop_asked_.exchange(true)) return;
+  auto expected = life_stage::serving;
+  if (!stage_.compare_exchange_strong(expected, life_stage::leaving)) return;
   post_event(ownership::stop_requested{});
   asio::post(core_context(), [this] {
     stop_timer_->expires_after(settings_.drain_timeout);
@@ -177,7 +178,7 @@
 }
 
 void agent::implementation::finish_stop() {
-  stopping_ = true;
+  stage_ = life_stage::ended;
   boost::system::error_code ignored;
   caller_acceptor_->close(ignored);
   forward_acceptor_->close(ignored);
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -100,8 +100,7 @@
   time_point last_tick_{};
   std::uint64_t messages_unreadable_ = 0;
 
-  std::atomic<bool> stopping_{false};  ///< Sessions end after their current request.
-  std::atomic<bool> stop_asked_{false};
+  std::atomic<life_stage> stage_{life_stage::serving};
   std::atomic<bool> ended_{false};
   std::mutex stopped_lock_;
   std::condition_variable stopped_changed_;
--- a/src/agent/internal/session.cpp
+++ b/src/agent/internal/session.cpp
@@ -24,6 +24,10 @@
 
 constexpr auto awaitable_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t prefix_chunk_bytes = 16 * 1024;
+constexpr std::chrono::milliseconds route_poll_interval{5};
+constexpr std::chrono::milliseconds retry_owner_first{10};
+constexpr std::chrono::milliseconds retry_owner_max{250};
+constexpr std::chrono::milliseconds owner_wait_reserve{20};
 
 std::string_view as_view(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -57,8 +61,11 @@
   std::shared_ptr<const service_view> service;
   std::string rank_name;
   std::string request_id;
+  time_point started = boot_now();
   std::uint32_t attempts = 0;
-  bool on_reused_connection = false;
+  std::uint32_t owner_waits = 0;
+  agent_id tried_owner;  ///< The owner of the last attempt, with its token.
+  fence_token tried_token;
 };
 
 session::session(worker& on, shared_tables& tables, const session_settings& settings,
@@ -70,11 +77,11 @@
   if (!error) peer_address_ = peer.address().to_string();
 }
 
-asio::awaitable<void> session::run(const std::atomic<bool>& stopping) {
+asio::awaitable<void> session::run(const std::atomic<life_stage>& stage) {
   const auto self = shared_from_this();
   ++worker_.sessions;
   bool keep_alive = true;
-  while (keep_alive && !stopping) {
+  while (keep_alive && stage != life_stage::ended) {
     request_parser parser;
     parser.header_limit(settings_.header_bytes_max);
     parser.body_limit(boost::none);
@@ -101,6 +108,7 @@
       break;
     }
     ++worker_.busy_sessions;
+    if (stage != life_stage::serving) parser.get().keep_alive(false);
     keep_alive = co_await serve(parser);
     --worker_.busy_sessions;
   }
@@ -137,9 +145,6 @@
                    "the service has no rank called " + current.asked.rank,
                    "use one of the ranks of the service's records");
   }
-  if (from_ == arrival::from_caller && !tables_.accepts_callers()) {
-    return refused(refusal_reason::draining, "this agent is being taken out of service");
-  }
   auto& descriptor = current.descriptor;
   descriptor.service = current.asked.service;
   descriptor.hash = current.asked.hash;
@@ -159,7 +164,7 @@
   current_request current;
   if (const auto why = check(current, parser)) {
     const bool body_follows = !parser.is_done();
-    co_return co_await refuse(*why, current.request_id, parser.keep_alive() && !body_follows);
+    co_return co_await refuse(*why, current.request_id, parser.get().keep_alive() && !body_follows);
   }
   caller_side side{socket_, buffer_, parser, {}, false, false, false, current.request_id};
   if (!co_await read_prefix(side)) co_return false;
@@ -197,25 +202,60 @@
     attempt_end end = co_await attempt(current, side);
     if (end.connection_lost) co_return false;
     if (end.answer_passed) {
-      co_return side.parser.keep_alive() && side.parser.is_done();
-    }
-    std::optional<duration> delay;
-    if (from_ == arrival::from_caller && !side.body_taken && !end.never_sent_again) {
-      const requests::failed_attempt last{current.attempts, end.why.what, end.why.reason,
-                                          end.why.retry_after};
-      const double jitter = std::uniform_real_distribution<double>(0, 1)(worker_.random);
-      delay = tables_.retry_delay(current.descriptor, last, jitter, boot_now());
+      co_return side.parser.get().keep_alive() && side.parser.is_done();
     }
-    if (!delay) {
+    const bool may_retry =
+        from_ == arrival::from_caller && !side.body_taken && !end.never_sent_again;
+    const bool again = may_retry && co_await wait_before_retry(current, end);
+    if (!again) {
       count(end.why.what);
       if (end.why.owner.empty()) end.why.owner = owner_hint(current);
       co_return co_await refuse(end.why, current.request_id,
-                                side.parser.keep_alive() && side.parser.is_done());
+                                side.parser.get().keep_alive() && side.parser.is_done());
     }
-    ++tables_.counts.retries;
-    asio::steady_timer timer(socket_.get_executor(), *delay);
+  }
+}
+
+asio::awaitable<bool> session::wait_before_retry(current_request& current, const attempt_end& end) {
+  const bool owner_changes =
+      end.why.what == outcome::not_run &&
+      (end.why.reason == refusal_reason::no_owner || end.why.reason == refusal_reason::not_owner);
+  if (owner_changes) co_return co_await wait_for_owner(current);
+  const requests::failed_attempt last{current.attempts, end.why.what, end.why.reason,
+                                      end.why.retry_after};
+  const double jitter = std::uniform_real_distribution<double>(0, 1)(worker_.random);
+  const auto delay = tables_.retry_delay(current.descriptor, last, jitter, boot_now());
+  if (!delay) co_return false;
+  ++tables_.counts.retries;
+  asio::steady_timer timer(socket_.get_executor(), *delay);
+  co_await timer.async_wait(awaitable_result);
+  co_return true;
+}
+
+asio::awaitable<bool> session::wait_for_owner(current_request& current) {
+  // The request reached no upstream, so sending it on costs none of the retry budget.
+  const auto give_up = std::min(current.descriptor.deadline - owner_wait_reserve,
+                                current.started + settings_.owner_wait_max);
+  if (boot_now() >= give_up || worker_.held_requests >= settings_.held_requests_max) {
+    co_return false;
+  }
+  const auto interval = std::min<duration>(
+      retry_owner_first * (1U << std::min(current.owner_waits, 8U)), retry_owner_max);
+  ++current.owner_waits;
+  const auto try_again = std::min(boot_now() + interval, give_up);
+  ++worker_.held_requests;
+  asio::steady_timer timer(socket_.get_executor());
+  for (;;) {
+    timer.expires_after(route_poll_interval);
     co_await timer.async_wait(awaitable_result);
+    const auto owner = tables_.route(current.asked.service, current.asked.hash);
+    const bool changed =
+        owner && (owner->owner.id != current.tried_owner || owner->token != current.tried_token);
+    if (changed || boot_now() >= try_again) break;
   }
+  --worker_.held_requests;
+  ++tables_.counts.redirects;
+  co_return true;
 }
 
 asio::awaitable<session::attempt_end> session::attempt(current_request& current,
@@ -238,6 +278,8 @@
                {}};
     co_return end;
   }
+  current.tried_owner = owner->owner.id;
+  current.tried_token = owner->token;
   if (owner->is_self) co_return co_await attempt_here(current, side);
   co_return co_await attempt_at(current, side, owner->owner);
 }
@@ -382,7 +424,7 @@
   answer.set("Masticshunt-Replayed", "1");
   answer.set("X-Request-Id", current.request_id);
   answer.body() = std::move(kept.body);
-  answer.keep_alive(side.parser.keep_alive() && side.parser.is_done());
+  answer.keep_alive(side.parser.get().keep_alive() && side.parser.is_done());
   answer.prepare_payload();
   auto [error, written] = co_await http::async_write(socket_, answer, awaitable_result);
   end.answer_passed = !error;
--- a/src/agent/internal/session.h
+++ b/src/agent/internal/session.h
@@ -25,6 +25,15 @@
   std::size_t answer_bytes_kept = 4 * 1024;
   duration idle_age_max = std::chrono::seconds{60};
   duration header_timeout = std::chrono::seconds{10};
+  std::size_t held_requests_max = 1'024;  ///< A worker's requests that wait for a new owner.
+  duration owner_wait_max = std::chrono::seconds{5};  ///< The longest wait for a new owner.
+};
+
+/// How far an agent is from its end.
+enum class life_stage {
+  serving,
+  leaving,  ///< A stop was asked for: requests are served, and every answer closes its connection.
+  ended     ///< All ranges were handed over: connections end after their current request.
 };
 
 /// One worker: a thread's event loop with what only that thread uses.
@@ -36,6 +45,7 @@
   connection_pool pool;
   std::mt19937_64 random;
   std::atomic<std::size_t> sessions{0};
+  std::size_t held_requests = 0;              ///< Requests that wait for a new owner of their key.
   std::atomic<std::size_t> busy_sessions{0};  ///< Sessions with a request in flight.
 };
 
@@ -48,8 +58,9 @@
   session(worker& on, shared_tables& tables, const session_settings& settings,
           boost::asio::ip::tcp::socket socket, caller::arrival from);
 
-  /// Serves until the connection ends. `stopping` is asked between requests.
-  boost::asio::awaitable<void> run(const std::atomic<bool>& stopping);
+  /// Serves until the connection ends, or after the current request once `stage` has left
+  /// `serving`.
+  boost::asio::awaitable<void> run(const std::atomic<life_stage>& stage);
 
  private:
   struct current_request;
@@ -64,6 +75,8 @@
   boost::asio::awaitable<bool> serve(request_parser& parser);
   boost::asio::awaitable<bool> read_prefix(caller_side& side);
   boost::asio::awaitable<bool> try_until_answered(current_request& current, caller_side& side);
+  boost::asio::awaitable<bool> wait_before_retry(current_request& current, const attempt_end& end);
+  boost::asio::awaitable<bool> wait_for_owner(current_request& current);
   boost::asio::awaitable<attempt_end> attempt(current_request& current, caller_side& side);
   boost::asio::awaitable<attempt_end> attempt_here(current_request& current, caller_side& side);
   boost::asio::awaitable<attempt_end> run_permitted(current_request& current, caller_side& side,
--- a/src/agent/internal/shared_tables.cpp
+++ b/src/agent/internal/shared_tables.cpp
@@ -295,7 +295,8 @@
                        {"may_have_run", counts.may_have_run.load()},
                        {"failed", counts.failed.load()},
                        {"forwarded", counts.forwarded.load()},
-                       {"retries", counts.retries.load()}};
+                       {"retries", counts.retries.load()},
+                       {"redirects", counts.redirects.load()}};
   return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/agent/internal/shared_tables.h
+++ b/src/agent/internal/shared_tables.h
@@ -62,6 +62,7 @@
   std::atomic<std::uint64_t> failed{0};
   std::atomic<std::uint64_t> forwarded{0};
   std::atomic<std::uint64_t> retries{0};
+  std::atomic<std::uint64_t> redirects{0};  ///< Attempts after a wait for the key's owner.
 };
 
 /// The tables that all workers share.
