Spread pages and records through the bounded fan-out

Cause: coordinators pushed every page to every member, and every agent listed all pages at its start. Change: agents read their own page only and learn the rest through spread; a coordinator pushes its page to renewers, changed owners and small groups; only coordinators list and watch pages. Conclusion: no agent reads more than its own page and the records at its start.

--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "masticshunt/base/failure.h"
+#include "masticshunt/decisions/ownership/spread_messages.h"
 #include "masticshunt/decisions/ownership/types.h"
 
 namespace masticshunt::ownership {
@@ -175,9 +176,10 @@
 };
 
 /// A control message.
-using message = std::variant<join_request, page_request, page_update, page_ack, renew_request,
-                             renew_reply, release_request, support_request, support_reply,
-                             stop_request, stop_reply, records_update>;
+using message =
+    std::variant<spread_notice, spread_pull, spread_objects, spread_digest, join_request,
+                 page_request, page_update, page_ack, renew_request, renew_reply, release_request,
+                 support_request, support_reply, stop_request, stop_reply, records_update>;
 
 /// Returns the CBOR form of `body` with its envelope. `from` is the sender's control endpoint.
 std::string encode(const message& body, const endpoint& from);
--- a/src/decisions/ownership/agent_messages.cpp
+++ b/src/decisions/ownership/agent_messages.cpp
@@ -6,6 +6,7 @@
 namespace masticshunt::ownership {
 namespace {
 
+constexpr duration disagreement_patience = std::chrono::seconds{3};
 constexpr duration group_watch_interval = std::chrono::seconds{1};
 constexpr duration record_watch_interval = std::chrono::milliseconds{300};
 
@@ -51,7 +52,7 @@
   if (sequence_in(what.body) > host->page().sequence) {
     step.send(what.from, page_request{*name, host->page().sequence});
   }
-  const auto before = host->page().version;
+  const auto before = host->page();
   host->handle(what.body, what.from, invariants, step);
   page_changed(*host, before, step);
 }
@@ -87,7 +88,30 @@
 void agent_core::state::on(const renew_request& body, const endpoint& from, step& step) {
   const auto* host = find_group(body.group);
   if (host == nullptr || !host->renews()) return;
-  if (body.config_digest != records.digest()) step.send(from, records.everything());
+  if (body.config_digest == records.digest()) {
+    disagreeing_since.erase(body.owner);
+    return;
+  }
+  const auto since = disagreeing_since.try_emplace(body.owner, step.now).first;
+  if (step.now - since->second < disagreement_patience) return;
+  since->second = step.now;
+  step.send(from, records.everything());
+}
+
+void agent_core::state::on(const spread_notice& body, const endpoint& from, step& step) {
+  perform(objects.handle(from, body, step.now), step);
+}
+
+void agent_core::state::on(const spread_pull& body, const endpoint& from, step& step) {
+  perform(objects.handle(from, body, step.now), step);
+}
+
+void agent_core::state::on(const spread_objects& body, const endpoint& from, step& step) {
+  perform(objects.handle(from, body, step.now), step);
+}
+
+void agent_core::state::on(const spread_digest& body, const endpoint& from, step& step) {
+  perform(objects.handle(from, body, step.now), step);
 }
 
 void agent_core::state::handle(const store_read_done& what, step& step) {
@@ -97,13 +121,15 @@
   auto& [next_read, delays] = read_delays[call->group];
   failure reason;
   const auto page = what.object ? page_from_object(*what.object, reason) : std::nullopt;
+  if (!what.object && what.reason.kind == failure_kind::not_found) own_page_read = true;
   if (!page) {
     next_read = step.now + delays.next_delay(jitter);
     return;
   }
   delays.reset();
+  objects.put({what.object->name, what.object->version, what.object->value, false}, step.now);
   auto& host = group(call->group);
-  const auto before = host.page().version;
+  const auto before = host.page();
   host.read_for_support(*page, call->sent, invariants, step);
   page_changed(host, before, step);
 }
@@ -112,8 +138,12 @@
   const auto call = end_call(what.call);
   if (!call) return;
   auto& host = group(call->group);
-  const auto before = host.page().version;
+  const auto before = host.page();
   if (host.answered(what, jitter, invariants, step)) read_page(call->group, step);
+  if (what.version && host.page().version == *what.version) {
+    objects.put({page_object_name(call->group), *what.version, to_value(host.page()), false},
+                step.now);
+  }
   page_changed(host, before, step);
 }
 
@@ -141,10 +171,7 @@
     records_changed(std::move(newer), step);
     return;
   }
-  failure reason;
-  for (const auto& object : *what.objects) {
-    if (const auto page = page_from_object(object, reason)) adopt(*page, step);
-  }
+  for (const auto& object : *what.objects) adopt_object(object, step);
 }
 
 }  // namespace masticshunt::ownership
--- a/src/decisions/ownership/agent_state.cpp
+++ b/src/decisions/ownership/agent_state.cpp
@@ -11,6 +11,8 @@
 constexpr duration stop_patience = std::chrono::seconds{10};
 constexpr duration outsider_patience_proved = std::chrono::milliseconds{1000};
 constexpr duration outsider_patience_blind = std::chrono::seconds{10};
+constexpr duration lonely_patience = std::chrono::seconds{2};
+constexpr std::size_t pushed_members_most = 32;
 constexpr duration start_spread = std::chrono::milliseconds{50};
 
 }  // namespace
@@ -19,6 +21,7 @@
     : settings(std::move(given)),
       self(settings.self),
       records(settings.faults),
+      objects({.self = self.control, .region = self.region, .seed = settings.seed}),
       leases(settings.self, settings.timing, settings.faults),
       jitter(settings.seed) {
   group_reader.prefix = "groups/";
@@ -96,6 +99,7 @@
 
 void agent_core::state::handle(const started& /*what*/, step& step) {
   renewer_heard = step.now;
+  began = step.now;
   group_reader.next_try = step.now + jitter.next_up_to(start_spread);
   record_reader.next_try = step.now + jitter.next_up_to(start_spread);
   outsider_patience = jitter.next_up_to(outsider_patience_proved);
@@ -113,6 +117,7 @@
   tick_own_group(step);
   refresh_pages(step);
   finish_stopping(step);
+  perform(objects.tick(step.now), step);
   step.out.emplace_back(wake_at{step.now + settings.timing.tick});
 }
 
@@ -137,6 +142,7 @@
 void agent_core::state::read_prefix(prefix_reader& reader, step& step) {
   if (reader.waiting || step.now < reader.next_try) return;
   if (reader.listed && !coordinates_any()) return;
+  if (&reader == &group_reader && !reader.listed && !needs_page_list(step.now)) return;
   reader.waiting = true;
   const auto call = start_call(reader.listed ? reader.watch : reader.list, {}, step.now);
   store_list list{call, reader.prefix, {}};
@@ -146,7 +152,14 @@
 
 void agent_core::state::tick_own_group(step& step) {
   auto* host = own();
-  if (host == nullptr || !group_reader.listed) return;
+  if (host == nullptr) {
+    choose_own_group(step);
+    return;
+  }
+  if (host->page().version == 0 && !own_page_read) {
+    read_page(host->name(), step);
+    return;
+  }
   update_leaving(step);
   if (self.upstream && !stopping) join(*host, step);
   if (host->page().version != 0) leases.tick(host->page(), report(), step);
@@ -191,10 +204,22 @@
 void agent_core::state::refresh_pages(step& step) {
   if (step.now < next_refresh) return;
   next_refresh = step.now + refresh_interval;
-  for (const auto& [name, host] : groups) {
-    if (host.renews() || host.page().version == 0 || host.page().renewers.empty()) continue;
-    step.send(host.page().renewers.front().control, page_request{name, host.page().sequence});
-  }
+  const auto* host = own();
+  if (host == nullptr || host->renews() || host->page().renewers.empty()) return;
+  step.send(host->page().renewers.front().control,
+            page_request{host->name(), host->page().sequence});
+}
+
+bool agent_core::state::needs_page_list(time_point now) const {
+  const bool lonely = !self.upstream && now - began > lonely_patience;
+  return lonely || coordinates_any();
+}
+
+void agent_core::state::choose_own_group(step& step) {
+  if (!self.upstream || !record_reader.listed) return;
+  const auto& service = self.upstream->service;
+  own_group = group_name{service, group_of_agent(self.id.name, groups_of(service))};
+  tick_own_group(step);
 }
 
 void agent_core::state::finish_stopping(step& step) {
@@ -208,31 +233,48 @@
   step.out.emplace_back(stopped{});
 }
 
-void agent_core::state::publish(const message& body, step& step) {
+void agent_core::state::push_page(const group_host& host, std::uint64_t owner_changes_before,
+                                  step& step) {
+  const auto& page = host.page();
   std::set<endpoint> targets;
-  for (const auto& host : groups | std::views::values) {
-    if (!host.coordinates()) continue;
-    for (const auto& member : host.page().members) targets.insert(member.control);
-    for (const auto& renewer : host.page().renewers) targets.insert(renewer.control);
+  for (const auto& renewer : page.renewers) targets.insert(renewer.control);
+  if (page.members.size() <= pushed_members_most) {
+    for (const auto& member : page.members) targets.insert(member.control);
+  }
+  for (const auto& entry : page.ranges) {
+    if (entry.token.sequence <= owner_changes_before) continue;
+    if (const auto* member = find_member(page, entry.owner.name)) targets.insert(member->control);
   }
   targets.erase(self.control);
-  for (const auto& target : targets) step.send(target, body);
+  for (const auto& target : targets) step.send(target, page_update{page});
 }
 
 void agent_core::state::adopt(const assignment_page& page, step& step) {
   auto& host = group(name_of(page));
-  const auto before = host.page().version;
+  const auto before = host.page();
   host.adopt(page, invariants, step);
   page_changed(host, before, step);
 }
 
-void agent_core::state::page_changed(group_host& host, std::uint64_t version_before, step& step) {
-  if (host.page().version == version_before) return;
+void agent_core::state::adopt_object(const store_object& object, step& step) {
+  failure reason;
+  const auto page = page_from_object(object, reason);
+  if (!page) return;
+  objects.put({object.name, object.version, object.value, false}, step.now);
+  adopt(*page, step);
+}
+
+void agent_core::state::page_changed(group_host& host, const assignment_page& before, step& step) {
+  const auto& page = host.page();
+  if (page.version == before.version) return;
+  std::vector<spread_peer> peers;
+  for (const auto& member : page.members) peers.push_back({member.control, member.region});
+  objects.set_peers(page_object_name(host.name()), std::move(peers));
   if (own_group == host.name()) {
-    leases.page_adopted(host.page(), report(), step);
+    leases.page_adopted(page, report(), step);
     renewer_heard = step.now;
   }
-  publish(page_update{host.page()}, step);
+  if (host.coordinates()) push_page(host, before.owner_changes, step);
 }
 
 void agent_core::state::records_changed(std::vector<stored_record> newer, step& step) {
@@ -240,14 +282,32 @@
   for (const auto& [name, incarnation] : records.lost_agents()) {
     for (auto& host : groups | std::views::values) host.note_ended(name, incarnation, step.now);
   }
-  publish(records_update{records.revision(), false, std::move(newer)}, step);
+  for (auto& record : newer) {
+    const bool deleted = record.value.empty();
+    objects.put({std::move(record.name), record.version, std::move(record.value), deleted},
+                step.now);
+  }
+}
+
+void agent_core::state::perform(spread_output output, step& step) {
+  for (auto& what : output.sends) {
+    std::visit([&](auto& typed) { step.send(what.to, std::move(typed)); }, what.body);
+  }
+  std::vector<stored_record> received;
+  for (auto& object : output.adopted) {
+    if (!object.name.starts_with(group_reader.prefix)) {
+      received.push_back({std::move(object.name), object.version, std::move(object.value)});
+      continue;
+    }
+    failure reason;
+    const auto page = page_from_object({object.name, object.version, object.value}, reason);
+    if (page) adopt(*page, step);
+  }
+  records_changed(records.take(received, invariants, step), step);
 }
 
 void agent_core::state::handle(const upstream_announced& what, step& step) {
   self.upstream = what.upstream;
-  const group_name name{what.upstream.service,
-                        group_of_agent(self.id.name, groups_of(what.upstream.service))};
-  if (!own_group) own_group = name;
   leases.describe_self(self);
   for (auto& host : groups | std::views::values) host.describe_self(self);
   tick_own_group(step);
--- a/src/decisions/ownership/internal/agent_state.h
+++ b/src/decisions/ownership/internal/agent_state.h
@@ -12,6 +12,7 @@
 #include "masticshunt/decisions/ownership/owner.h"
 #include "masticshunt/decisions/ownership/page.h"
 #include "masticshunt/decisions/ownership/record_feed.h"
+#include "masticshunt/decisions/ownership/spread.h"
 #include "masticshunt/decisions/ownership/step.h"
 
 namespace masticshunt::ownership {
@@ -60,6 +61,10 @@
   void on(const renew_reply& body, const endpoint& from, step& step);
   void on(const release_request& body, const endpoint& from, step& step);
   void on(const renew_request& body, const endpoint& from, step& step);
+  void on(const spread_notice& body, const endpoint& from, step& step);
+  void on(const spread_pull& body, const endpoint& from, step& step);
+  void on(const spread_objects& body, const endpoint& from, step& step);
+  void on(const spread_digest& body, const endpoint& from, step& step);
 
   void observe_time(time_point now);
   void tick(step& step);
@@ -71,9 +76,12 @@
   void finish_stopping(step& step);
   void read_page(const group_name& name, step& step);
   void adopt(const assignment_page& page, step& step);
-  void page_changed(group_host& group, std::uint64_t version_before, step& step);
+  void page_changed(group_host& group, const assignment_page& before, step& step);
   void records_changed(std::vector<stored_record> newer, step& step);
-  void publish(const message& body, step& step);
+  void push_page(const group_host& group, std::uint64_t owner_changes_before, step& step);
+  void perform(spread_output output, step& step);
+  void adopt_object(const store_object& object, step& step);
+  void choose_own_group(step& step);
   void update_leaving(step& step);
 
   [[nodiscard]] store_call_id start_call(call_purpose purpose, const group_name& group,
@@ -86,6 +94,7 @@
   [[nodiscard]] owner_report report() const;
   [[nodiscard]] bool coordinates_any() const;
   [[nodiscard]] bool drained() const;
+  [[nodiscard]] bool needs_page_list(time_point now) const;
   [[nodiscard]] std::uint32_t groups_of(const std::string& service) const;
 
   core_settings settings;
@@ -93,6 +102,8 @@
   std::map<group_name, group_host> groups;
   std::optional<group_name> own_group;
   record_feed records;
+  spread objects;  ///< Pages and records as they spread among agents.
+  std::map<agent_id, time_point> disagreeing_since;  ///< Owners whose records differ from ours.
   owner leases;
   invariant_counters invariants;
   jitter_source jitter;
@@ -107,6 +118,8 @@
   time_point next_join{};
   time_point next_refresh{};
   time_point renewer_heard{};
+  time_point began{};
+  bool own_page_read = false;
   duration outsider_patience{};
   bool stopping = false;
   bool stopped_said = false;
--- a/src/decisions/ownership/messages.cpp
+++ b/src/decisions/ownership/messages.cpp
@@ -25,6 +25,10 @@
 
 /// One entry for each alternative of `message`, in its order.
 constexpr std::array<message_reader, std::variant_size_v<message>> readers{{
+    {"spread_notice", &read_as<spread_notice>},
+    {"spread_pull", &read_as<spread_pull>},
+    {"spread_objects", &read_as<spread_objects>},
+    {"spread_digest", &read_as<spread_digest>},
     {"join_request", &read_as<join_request>},
     {"page_request", &read_as<page_request>},
     {"page_update", &read_as<page_update>},
--- a/tests/decisions/ownership/agent_core_test.cpp
+++ b/tests/decisions/ownership/agent_core_test.cpp
@@ -127,3 +127,14 @@
     expect_true(one.core->admit("viewer", hash, one.local(run.agents.now)).has_value());
   }
 }
+
+Test(agent_core, routes_the_keys_of_other_services) {
+  fleet_settings settings;
+  settings.second_service = "ledger";
+  settled_fleet run(settings);
+  run.agents.run_for(seconds{4});
+  for (std::size_t index = 0; index < run.agents.nodes.size(); ++index) {
+    expect_true(run.agents.nodes[index].core->route("ledger", 42).has_value(), "ledger");
+    expect_true(run.agents.nodes[index].core->route("viewer", 42).has_value(), "viewer");
+  }
+}
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -36,6 +36,7 @@
   double drift_ppm = 200;
   bool move_when_isolated = false;
   std::string service = "viewer";
+  std::string second_service;  ///< Of every second agent; empty for none.
   ownership::lease_timing timing;
   ownership::fault_injection faults;
 };
@@ -121,7 +122,7 @@
 
   void announce(std::size_t index) {
     deliver(index, ownership::upstream_announced{
-                       {settings.service, "u" + nodes[index].control, 1, 12, 120, false}});
+                       {service_of(index), "u" + nodes[index].control, 1, 12, 120, false}});
   }
 
   void crash(std::size_t index) {
@@ -189,6 +190,10 @@
     failure reason;
     return object ? ownership::page_from_object(*object, reason) : std::nullopt;
   }
+  const std::string& service_of(std::size_t index) const {
+    const bool second = !settings.second_service.empty() && index % 2 == 1;
+    return second ? settings.second_service : settings.service;
+  }
   std::optional<std::size_t> index_of(const std::string& name) const {
     for (std::size_t index = 0; index < nodes.size(); ++index) {
       if (nodes[index].name == name) return index;
