Keep what a gate has learned when its upstream announces itself again

Cause: the agent puts the gate's settings into force at every announcement, once a second, which reset the concurrency limit. Change: unchanged settings do nothing; the limit stays while slots and rank names are the same. Conclusion: a floor can change without a new start of the limit.

--- a/include/masticshunt/decisions/requests/gate.h
+++ b/include/masticshunt/decisions/requests/gate.h
@@ -19,6 +19,8 @@
   double floor = 0;  ///< Share of the concurrency kept for it.
   double worth = 1;
   duration target = std::chrono::seconds{1};
+
+  bool operator==(const rank_policy&) const = default;
 };
 
 /// Which waiting attempt of a caller goes first once its rank has a lasting backlog.
@@ -34,6 +36,8 @@
   bool ignore_key_bound = false;
   bool ignore_deadlines = false;
   bool ignore_queue_bound = false;
+
+  bool operator==(const gate_faults&) const = default;
 };
 
 /// Settings of a gate.
@@ -47,6 +51,8 @@
   double stalled_after = 8;  ///< Multiple of the usual service time that makes a key stalled.
   duration backlog_after = std::chrono::milliseconds{100};  ///< A backlog this old is lasting.
   gate_faults faults;
+
+  bool operator==(const gate_settings&) const = default;
 };
 
 /// Counts of a gate, and of its broken promises (which must stay zero).
@@ -128,7 +134,9 @@
   /// Returns the actions of `tick`.
   gate_actions tick(time_point now);
 
-  /// Takes new ranks or slots into force for attempts from now on.
+  /// Takes new ranks or slots into force for attempts from now on. What was learned stays: service
+  /// times always, the concurrency limit while the slots and the ranks' names are the same. Does
+  /// nothing if the settings are those in force.
   void reconfigure(gate_settings settings, time_point now);
 
   /// Returns the attempts running now.
--- a/src/decisions/requests/gate.cpp
+++ b/src/decisions/requests/gate.cpp
@@ -83,6 +83,7 @@
 
 void gate::reconfigure(gate_settings settings, time_point now) {
   if (settings.ranks.empty()) settings.ranks.emplace_back();
+  if (settings == state_->settings) return;
   auto next = std::make_unique<state>(std::move(settings), state_->attempts.size());
   next->adopt(*state_, now);
   state_ = std::move(next);
--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -377,6 +377,11 @@
     ++keys.at(attempts.at(place).key_node).running;
     insert_running(place);
   });
+  const bool same_ranks = std::ranges::equal(settings.ranks, other.settings.ranks, {},
+                                             &rank_policy::name, &rank_policy::name);
+  if (same_ranks && settings.slots == other.settings.slots &&
+      settings.algorithm == other.settings.algorithm)
+    limit = other.limit;
   counts = other.counts;
 }
 
--- a/tests/decisions/requests/gate_test.cpp
+++ b/tests/decisions/requests/gate_test.cpp
@@ -202,6 +202,21 @@
   expect_equal(f.subject.running(), 3U);
 }
 
+Test(gate, keeps_its_learned_limit_when_only_a_floor_changes) {
+  gate_fixture f;
+  f.settings.algorithm = limit_algorithm::gradient;
+  f.subject.reconfigure(f.settings, at({}));
+  for (int i = 0; i < 400; ++i) {
+    f.offer(1);
+    f.subject.finished(f.next - 1, attempt_result::timed_out, at({}));
+  }
+  const double learned = f.subject.limit();
+  f.settings.ranks[0].floor = 0.4;
+  f.subject.reconfigure(f.settings, at({}));
+  expect_true(learned < 4);
+  expect_equal(f.subject.limit(), learned);
+}
+
 Test(gate, dumps_its_ranks) {
   gate_fixture f;
   f.offer(5);
