--- a/include/masticshunt/operator/command.h
+++ b/include/masticshunt/operator/command.h
@@ -40,7 +40,7 @@
 struct command {
   std::string_view name;
   std::string_view summary;  ///< One line, for the list of commands.
-  std::string_view usage;    ///< In docopt's language, without the program's name.
+  std::string usage;         ///< Patterns and options in docopt's language.
   int (*run)(const arguments& with);
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,7 +55,7 @@
   return exit_ok;
 }
 
-constexpr std::array local_commands{
+const std::array local_commands{
     command{"agent", "Runs the agent beside one upstream",
             "  masticshunt agent --config=FILE\n\nOptions:\n"
             "  --config=FILE  The agent's settings.\n",
--- /dev/null
+++ b/src/operator/apply.cpp
@@ -0,0 +1,318 @@
+#include "operator/internal/apply.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "masticshunt/decisions/configuration/registry.h"
+
+namespace masticshunt::operators {
+
+using configuration::record;
+using configuration::record_kind;
+using nlohmann::json;
+using ownership::store_object;
+
+namespace {
+
+constexpr std::string_view schema_floor_object = "system/schema-floor";
+constexpr std::string_view pages_prefix = "groups/";
+constexpr std::uint32_t first_schema = 1;
+
+/// The records of the store as they stood before the command.
+struct store_view {
+  std::vector<store_object> objects;
+  configuration::registry records;
+
+  [[nodiscard]] const store_object* find(std::string_view name) const {
+    const auto place = std::ranges::find(objects, name, &store_object::name);
+    return place == objects.end() ? nullptr : &*place;
+  }
+};
+
+std::optional<store_view> read_view(store_session& store, failure& reason) {
+  auto listed = store.list("config/");
+  if (!listed.objects) {
+    reason = std::move(listed.reason);
+    return std::nullopt;
+  }
+  store_view view{std::move(*listed.objects), {}};
+  for (const auto& each : view.objects) view.records.apply(each.name, each.version, each.value);
+  return view;
+}
+
+std::optional<record> record_in(const store_object& object) {
+  failure ignored;
+  return configuration::from_value(object.name, object.value, ignored);
+}
+
+/// Fills `line` with a conflict between the store's object and the file's record.
+void tell_conflict(apply_line& line, const std::optional<store_object>& current,
+                   const std::optional<record>& wanted, const std::string& what) {
+  line.what = apply_outcome::refused;
+  line.changes = differences(current ? record_in(*current) : std::nullopt, wanted);
+  line.version = current ? current->version : 0;
+  if (current) line.edited_by = configuration::stamp_of(current->value).edited_by;
+  line.reason = {failure_kind::conflict, line.object + ": " + what,
+                 "compare both edits, masticshunt get the record, carry your change over and "
+                 "apply again"};
+}
+
+/// Decides what is to become of one record, without writing.
+apply_line plan(const store_view& view, const file_record& wanted) {
+  apply_line line{.object = configuration::object_name(wanted.content)};
+  const auto* const current = view.find(line.object);
+  if (current == nullptr) {
+    line.what = apply_outcome::created;
+    line.changes = differences(std::nullopt, wanted.content);
+    if (wanted.expected_version.value_or(0) != 0) {
+      tell_conflict(line, std::nullopt, wanted.content,
+                    "it was deleted; the file was made from version " +
+                        std::to_string(*wanted.expected_version));
+    }
+    return line;
+  }
+  line.version = current->version;
+  const auto standing = record_in(*current);
+  if (standing == wanted.content) {
+    line.what = apply_outcome::unchanged;
+    return line;
+  }
+  line.what = apply_outcome::changed;
+  line.changes = differences(standing, wanted.content);
+  if (wanted.expected_version == current->version) return line;
+  const auto made_from =
+      wanted.expected_version
+          ? "the file was made from version " + std::to_string(*wanted.expected_version)
+          : std::string("the file does not say which version it was made from");
+  tell_conflict(line, *current, wanted.content,
+                "it stands at version " + std::to_string(current->version) + ", and " + made_from);
+  return line;
+}
+
+std::uint32_t page_floor(const store_object& page) {
+  const json parsed = json::parse(page.value, nullptr, false);
+  if (!parsed.is_object()) return first_schema;
+  const auto floor = parsed.find("schema_floor");
+  if (floor == parsed.end() || !floor->is_number_unsigned()) return first_schema;
+  return floor->get<std::uint32_t>();
+}
+
+/// Returns the newest schema that every group of `service` (all groups if empty) can read. A
+/// service without groups has no agent that could fail to read a record.
+std::optional<std::uint32_t> read_floor(store_session& store, const std::string& service,
+                                        failure& reason) {
+  const std::string wanted = service.empty() ? service : service + "/";
+  std::uint32_t floor = configuration::schema_version_max;
+  const auto stated = store.read(std::string(schema_floor_object));
+  if (!stated.object && stated.reason.kind != failure_kind::not_found) {
+    reason = stated.reason;
+    return std::nullopt;
+  }
+  const json parsed = stated.object ? json::parse(stated.object->value, nullptr, false) : json();
+  if (parsed.is_object() && parsed.contains("floors") && parsed["floors"].is_object()) {
+    for (const auto& [group, value] : parsed["floors"].items()) {
+      if (!group.starts_with(wanted)) continue;
+      floor =
+          std::min(floor, value.is_number_unsigned() ? value.get<std::uint32_t>() : first_schema);
+    }
+    return floor;
+  }
+  const auto pages = store.list(std::string(pages_prefix) + wanted);
+  if (!pages.objects) {
+    reason = pages.reason;
+    return std::nullopt;
+  }
+  for (const auto& page : *pages.objects) floor = std::min(floor, page_floor(page));
+  return floor;
+}
+
+/// Returns why the agents concerned cannot take `wanted`, or nothing.
+std::optional<failure> refusal_by_schema(store_session& store, const record& wanted) {
+  if (wanted.schema_version <= first_schema) return std::nullopt;
+  failure reason;
+  const auto floor = read_floor(store, configuration::service_of(wanted), reason);
+  if (!floor) return reason;
+  if (wanted.schema_version <= *floor) return std::nullopt;
+  return failure{failure_kind::unsupported,
+                 configuration::object_name(wanted) +
+                     ": not accepted: some live agents read only "
+                     "schema " +
+                     std::to_string(*floor) + ", the record has schema " +
+                     std::to_string(wanted.schema_version),
+                 "update those agents first (masticshunt status shows their versions), or write "
+                 "the record in schema " +
+                     std::to_string(*floor)};
+}
+
+/// Ranks come before the services whose default rank they are.
+int write_order(const apply_line& line) {
+  constexpr std::array<std::string_view, 4> order{"config/rank/", "config/key-range/",
+                                                  "config/service/", "config/drain/"};
+  const auto* const place = std::ranges::find_if(
+      order, [&](std::string_view prefix) { return line.object.starts_with(prefix); });
+  return static_cast<int>(place - order.begin());
+}
+
+void write_one(store_session& store, const file_record& wanted, const apply_options& options,
+               apply_line& line) {
+  const configuration::write_stamp stamp{options.write_id + "/" + line.object, options.edited_by};
+  const auto done =
+      store.write(line.object, line.version, configuration::to_value(wanted.content, stamp));
+  if (done.version) {
+    line.version = *done.version;
+    return;
+  }
+  if (done.reason.kind == failure_kind::conflict) {
+    tell_conflict(line, done.current, wanted.content, "somebody else changed it at the same time");
+    return;
+  }
+  line.what = apply_outcome::refused;
+  line.reason = done.reason;
+}
+
+bool is_write(const apply_line& line) {
+  return line.what == apply_outcome::created || line.what == apply_outcome::changed;
+}
+
+/// Marks every planned write as not tried; what was refused keeps its reason.
+void hold_writes(std::vector<apply_line>& lines) {
+  for (auto& each : lines) {
+    if (is_write(each)) each.what = apply_outcome::not_tried;
+  }
+}
+
+void refuse_all(std::vector<apply_line>& lines, const failure& reason) {
+  hold_writes(lines);
+  if (lines.empty()) return;
+  lines.front().what = apply_outcome::refused;
+  lines.front().reason = reason;
+}
+
+/// One record with its report line.
+struct planned_write {
+  const file_record* wanted = nullptr;
+  apply_line* line = nullptr;
+};
+
+std::vector<planned_write> in_write_order(const std::vector<file_record>& records,
+                                          std::vector<apply_line>& lines) {
+  std::vector<planned_write> result;
+  for (std::size_t index = 0; index < records.size(); ++index) {
+    result.push_back({&records[index], &lines[index]});
+  }
+  std::ranges::stable_sort(result, {}, [](const auto& each) { return write_order(*each.line); });
+  return result;
+}
+
+void write_all(store_session& store, const std::vector<file_record>& records,
+               const apply_options& options, std::vector<apply_line>& lines) {
+  bool stopped = false;
+  for (const auto& each : in_write_order(records, lines)) {
+    if (!is_write(*each.line)) continue;
+    if (stopped) {
+      each.line->what = apply_outcome::not_tried;
+      continue;
+    }
+    write_one(store, *each.wanted, options, *each.line);
+    stopped = each.line->what == apply_outcome::refused;
+  }
+}
+
+std::optional<failure> check_all(store_session& store, const store_view& view,
+                                 const std::vector<file_record>& records) {
+  std::vector<configuration::planned_change> changes;
+  for (const auto& each : records) {
+    if (auto refusal = refusal_by_schema(store, each.content)) return refusal;
+    changes.push_back(
+        {configuration::object_name(each.content), configuration::to_value(each.content)});
+  }
+  return configuration::breakage(view.records, changes);
+}
+
+}  // namespace
+
+std::string_view to_string(apply_outcome what) {
+  constexpr std::array<std::string_view, 6> names{"created", "changed", "unchanged",
+                                                  "deleted", "refused", "not-tried"};
+  return names.at(static_cast<std::size_t>(what));
+}
+
+std::optional<failure> apply_report::first_failure() const {
+  const auto failed = std::ranges::find_if(
+      lines, [](const apply_line& line) { return line.reason.kind != failure_kind::none; });
+  if (failed == lines.end()) return std::nullopt;
+  return failed->reason;
+}
+
+std::uint64_t apply_report::revision() const {
+  std::uint64_t newest = 0;
+  for (const auto& line : lines) newest = std::max(newest, line.version);
+  return newest;
+}
+
+apply_report apply_records(store_session& store, const std::vector<file_record>& records,
+                           const apply_options& options) {
+  apply_report report;
+  for (const auto& each : records) {
+    report.lines.push_back({.object = configuration::object_name(each.content)});
+  }
+  failure reason;
+  const auto view = read_view(store, reason);
+  if (!view) {
+    refuse_all(report.lines, reason);
+    return report;
+  }
+  std::ranges::transform(records, report.lines.begin(),
+                         [&](const file_record& each) { return plan(*view, each); });
+  if (report.first_failure()) {
+    hold_writes(report.lines);
+  } else if (const auto fault = check_all(store, *view, records)) {
+    refuse_all(report.lines, *fault);
+  } else if (!options.dry_run) {
+    write_all(store, records, options, report.lines);
+  }
+  return report;
+}
+
+apply_line delete_record(store_session& store, const std::string& object, std::uint64_t expected) {
+  apply_line line{.object = object, .what = apply_outcome::refused};
+  const auto view = read_view(store, line.reason);
+  if (!view) return line;
+  const auto* const current = view->find(object);
+  if (current == nullptr) {
+    line.reason = {failure_kind::not_found, object + " does not exist",
+                   "masticshunt list shows what there is"};
+    return line;
+  }
+  if (current->version != expected) {
+    tell_conflict(line, *current, std::nullopt,
+                  "it stands at version " + std::to_string(current->version) + ", not " +
+                      std::to_string(expected));
+    return line;
+  }
+  if (auto fault = configuration::breakage(view->records, {{object, ""}})) {
+    line.reason = std::move(*fault);
+    return line;
+  }
+  const auto done = store.remove(object, expected);
+  if (done.version) {
+    line.what = apply_outcome::deleted;
+    line.version = *done.version;
+  } else if (done.reason.kind == failure_kind::conflict) {
+    tell_conflict(line, done.current, std::nullopt, "somebody else changed it at the same time");
+  } else {
+    line.reason = done.reason;
+  }
+  return line;
+}
+
+std::string make_write_id() {
+  std::random_device device;
+  std::string result;
+  for (int word = 0; word < 4; ++word) result += std::to_string(device()) + (word < 3 ? "-" : "");
+  return result;
+}
+
+}  // namespace masticshunt::operators
--- a/src/operator/command.cpp
+++ b/src/operator/command.cpp
@@ -24,7 +24,7 @@
 
 /// Returns the usage text in docopt's form: every pattern line starts with the program's name.
 std::string docopt_text(const command& what) {
-  return std::string(what.summary) + "\n\nUsage:\n" + std::string(what.usage);
+  return std::string(what.summary) + "\n\nUsage:\n" + what.usage;
 }
 
 int parse_and_run(const command& what, const std::vector<std::string>& words) {
