--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,9 +5,11 @@
 #include <charconv>
 #include <cstdio>
 #include <iterator>
+#include <optional>
 
 #include "masticshunt/agent/run.h"
 #include "masticshunt/agent/settings.h"
+#include "masticshunt/demo/run.h"
 #include "masticshunt/operator/command.h"
 #include "masticshunt/platform/store_stand_in.h"
 #include "masticshunt/support/log.h"
@@ -20,6 +22,17 @@
 using masticshunt::operators::exit_usage;
 using masticshunt::operators::text_argument;
 
+constexpr std::uint64_t port_max = 65'535;
+
+/// Returns the whole number that `with` holds under `name`, or nothing.
+std::optional<std::uint64_t> number_argument(const arguments& with, const char* name) {
+  const auto text = text_argument(with, name).value_or("");
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
 int run_version(const arguments& /*with*/) {
   std::puts("masticshunt " MASTICSHUNT_VERSION " (built " __DATE__ ", compiler " __VERSION__ ")");
   return exit_ok;
@@ -38,15 +51,14 @@
 }
 
 int run_store_stand_in(const arguments& with) {
-  const auto text = text_argument(with, "--port").value_or("");
-  std::uint16_t port = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
-  if (error != std::errc{} || end != text.data() + text.size()) {
+  const auto port = number_argument(with, "--port");
+  if (!port || *port > port_max) {
     std::fputs("masticshunt: --port is no port; write a number from 0 to 65535\n", stderr);
     return exit_usage;
   }
   boost::asio::io_context context;
-  masticshunt::platform::store_stand_in store(context.get_executor(), port);
+  masticshunt::platform::store_stand_in store(context.get_executor(),
+                                              static_cast<std::uint16_t>(*port));
   std::printf("store stand-in listens on %s\n", store.address().c_str());
   std::fflush(stdout);
   boost::asio::signal_set signals(context, SIGINT, SIGTERM);
@@ -55,7 +67,27 @@
   return exit_ok;
 }
 
+int run_demo(const arguments& with) {
+  masticshunt::demo::demo_options options;
+  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+  const auto seconds = number_argument(with, "--seconds");
+  const auto seed = number_argument(with, "--seed");
+  if (!seconds || !seed || *seconds == 0) {
+    std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
+    return exit_usage;
+  }
+  options.duration = std::chrono::seconds{*seconds};
+  options.seed = *seed;
+  return masticshunt::demo::run(options);
+}
+
 const std::array local_commands{
+    command{"demo", "Runs both deployments of the brief in this process, with faults",
+            "  masticshunt demo [--deployment=NAME] [--seconds=N] [--seed=N]\n\nOptions:\n"
+            "  --deployment=NAME  imhof, llyfrnod or both [default: both].\n"
+            "  --seconds=N        How long each deployment is under load [default: 12].\n"
+            "  --seed=N           Drives the load [default: 1].\n",
+            &run_demo},
     command{"agent", "Runs the agent beside one upstream",
             "  masticshunt agent --config=FILE\n\nOptions:\n"
             "  --config=FILE  The agent's settings.\n",
