Stop the spreading from waking each millisecond while its budget is spent

Cause: a due digest kept next_wake at 'now' although nothing could be sent; a queue of pulls was searched linearly.

--- a/include/masticshunt/decisions/ownership/spread.h
+++ b/include/masticshunt/decisions/ownership/spread.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "masticshunt/base/identity.h"
@@ -152,10 +153,7 @@
     std::string received;  ///< The first bytes of the value of `received_version`.
     std::uint64_t received_version = 0;
   };
-  struct queued_pull {
-    endpoint from;
-    pull_item item;
-  };
+  using pull_name = std::pair<endpoint, object_key>;  ///< Who asks for what.
   struct tombstone {
     time_point since;
     object_key key = 0;
@@ -220,7 +218,8 @@
   std::map<object_key, wanted_object> wanted_;
   std::deque<object_key> to_ask_;
   std::map<object_key, time_point> in_flight_;
-  std::deque<queued_pull> to_serve_;
+  std::deque<pull_name> to_serve_;
+  std::map<pull_name, pull_item> pulls_to_serve_;  ///< The newest pull of each name in the queue.
   spread_counters counters_;
 };
 
--- a/src/decisions/ownership/spread.cpp
+++ b/src/decisions/ownership/spread.cpp
@@ -97,7 +97,8 @@
   for (const auto& [peer, state] : neighbours_) {
     if (state.chosen) wake = std::min(wake, std::max(state.next_digest, now));
   }
-  return wake;
+  const bool out_of_budget = tokens_ <= 0;
+  return out_of_budget ? std::max(wake, now + settings_.notice_interval) : wake;
 }
 
 std::optional<versioned_object> spread::find(std::string_view name) const {
--- a/src/decisions/ownership/spread_exchange.cpp
+++ b/src/decisions/ownership/spread_exchange.cpp
@@ -57,15 +57,8 @@
 void spread::take(const endpoint& from, const spread_pull& what, time_point, spread_output&) {
   for (const auto& item : what.items) {
     if (to_serve_.size() >= pulls_queued_max) return;
-    const auto same = [&](const queued_pull& other) {
-      return other.item.key == item.key && other.from == from;
-    };
-    const auto queued = std::ranges::find_if(to_serve_, same);
-    if (queued == to_serve_.end()) {
-      to_serve_.push_back({from, item});
-    } else {
-      queued->item = item;
-    }
+    const pull_name name{from, item.key};
+    if (pulls_to_serve_.insert_or_assign(name, item).second) to_serve_.push_back(name);
   }
 }
 
@@ -229,13 +222,14 @@
     answer = {};
   };
   while (!to_serve_.empty() && tokens_ - reserved > 0) {
-    const auto request = std::move(to_serve_.front());
+    const auto request = pulls_to_serve_.extract(to_serve_.front());
     to_serve_.pop_front();
-    auto part = part_for(request.item);
+    auto part = part_for(request.mapped());
     if (!part) continue;
-    auto& answer = answers[request.from];
+    const auto& from = request.key().first;
+    auto& answer = answers[from];
     const auto bytes = payload_bytes(*part);
-    if (answer.second != 0 && answer.second + bytes > part_bytes_max) flush(request.from, answer);
+    if (answer.second != 0 && answer.second + bytes > part_bytes_max) flush(from, answer);
     answer.second += bytes;
     reserved += static_cast<double>(bytes);
     answer.first.parts.push_back(*std::move(part));
--- a/tests/decisions/ownership/spread_test.cpp
+++ b/tests/decisions/ownership/spread_test.cpp
@@ -155,6 +155,19 @@
   expect_true(network.agent(0).counters().bytes_sent < 20'000 + 30 * 8'000 + overshoot_bytes);
 }
 
+Test(spread, waits_for_its_notice_interval_while_its_budget_is_spent) {
+  spread_settings settings;
+  settings.self = "a";
+  settings.burst_bytes = 100;
+  spread agent(settings);
+  agent.set_peers("page", {{"b", ""}, {"c", ""}});
+  const time_point now{1h};
+  agent.put({"config/rank/x", 1, "v", false}, now);
+  agent.tick(now);
+  agent.tick(now);
+  expect_true(agent.next_wake(now + 20s) >= now + 20s + settings.notice_interval);
+}
+
 Test(spread, lets_a_newcomer_catch_up) {
   spread_network network({.agents_per_region = 6});
   network.lost = [](std::size_t from, std::size_t to) { return from == 5 || to == 5; };
--- a/tools/internal/capacity_measure.h
+++ b/tools/internal/capacity_measure.h
@@ -91,6 +91,8 @@
   double spread_message_us = not_measured;
   double held_bytes_per_object = not_measured;  ///< Without name and value.
   double domain_loss_seconds = not_measured;
+  double region_return_seconds = not_measured;
+  double joiner_seconds = not_measured;
   double gate_ns = not_measured;
   double gate_bytes = not_measured;
   double ledger_ns = not_measured;
--- a/tools/internal/capacity_spread.h
+++ b/tools/internal/capacity_spread.h
@@ -238,20 +238,23 @@
     rows.rows.push_back({"loss of a failure domain: 20 pages, a quarter of the ranges of each",
                          shown(static_cast<double>(agents)), shown(slopes.domain_loss_seconds)});
   }
-  for (const std::size_t agents : {50, 100, 200}) {
+  for (const std::size_t agents : {20, 50, 100}) {
     testing::spread_network network(
         {.regions = regions, .agents_per_region = agents / regions, .seed = seed});
     const auto local = agents / regions;
     network.lost = [local](std::size_t from, std::size_t to) {
       return (from < local) != (to < local);
     };
-    for (std::uint64_t record = 0; record < 5'000; ++record) {
-      network.agent(record % agents).put(sample_record(record, 1), network.now());
+    for (std::size_t agent = local; agent < agents; ++agent) {
+      for (std::uint64_t record = 0; record < 5'000; ++record) {
+        network.agent(agent).put(sample_record(record, 1), network.now());
+      }
     }
-    network.run(std::chrono::minutes{20});
+    network.run(seconds{300});
     network.lost = nullptr;
+    slopes.region_return_seconds = agree(network, seconds{900});
     rows.rows.push_back({"a region returns after an hour with 5,000 changes",
-                         shown(static_cast<double>(agents)), shown(agree(network, seconds{600}))});
+                         shown(static_cast<double>(agents)), shown(slopes.region_return_seconds)});
   }
   for (const std::size_t agents : {50, 100, 200}) {
     testing::spread_network network(
@@ -264,8 +267,9 @@
         network.agent(agent).put(sample_record(record, 1), network.now());
       }
     }
+    slopes.joiner_seconds = agree(network, seconds{900});
     rows.rows.push_back({"an agent starts from nothing: 20 pages and 2,000 records",
-                         shown(static_cast<double>(agents)), shown(agree(network, seconds{600}))});
+                         shown(static_cast<double>(agents)), shown(slopes.joiner_seconds)});
   }
   out.write(rows);
 }
