--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,107 @@
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <cstdio>
+#include <iterator>
 
-int main() {
-  std::puts("masticshunt " MASTICSHUNT_VERSION);
-  return 0;
+#include "masticshunt/agent/run.h"
+#include "masticshunt/agent/settings.h"
+#include "masticshunt/demo/run.h"
+#include "masticshunt/operator/command.h"
+#include "masticshunt/platform/store_stand_in.h"
+#include "masticshunt/support/log.h"
+
+namespace {
+
+using masticshunt::operators::arguments;
+using masticshunt::operators::command;
+using masticshunt::operators::exit_ok;
+using masticshunt::operators::exit_usage;
+using masticshunt::operators::text_argument;
+
+/// Returns the whole number that `with` holds under `name`, or nothing.
+std::optional<std::uint64_t> number_argument(const arguments& with, const char* name) {
+  const auto text = text_argument(with, name).value_or("");
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+int run_version(const arguments& /*with*/) {
+  std::puts("masticshunt " MASTICSHUNT_VERSION " (built " __DATE__ ", compiler " __VERSION__ ")");
+  return exit_ok;
+}
+
+int run_agent_command(const arguments& with) {
+  masticshunt::failure reason;
+  const auto settings =
+      masticshunt::agent::load_agent_settings(text_argument(with, "--config").value_or(""), reason);
+  if (!settings) {
+    std::fprintf(stderr, "masticshunt: %s\n", reason.describe().c_str());
+    return exit_usage;
+  }
+  masticshunt::support::configure_log(settings->log.level, settings->log.format);
+  return masticshunt::agent::run_agent(*settings);
+}
+
+int run_store_stand_in(const arguments& with) {
+  const auto text = text_argument(with, "--port").value_or("");
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    std::fputs("masticshunt: --port is no port; write a number from 0 to 65535\n", stderr);
+    return exit_usage;
+  }
+  boost::asio::io_context context;
+  masticshunt::platform::store_stand_in store(context.get_executor(), port);
+  std::printf("store stand-in listens on %s\n", store.address().c_str());
+  std::fflush(stdout);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](const auto&, int) { context.stop(); });
+  context.run();
+  return exit_ok;
+}
+
+int run_demo(const arguments& with) {
+  masticshunt::demo::demo_options options;
+  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+  const auto seconds = number_argument(with, "--seconds");
+  const auto seed = number_argument(with, "--seed");
+  if (!seconds || !seed || *seconds == 0) {
+    std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
+    return exit_usage;
+  }
+  options.duration = std::chrono::seconds{*seconds};
+  options.seed = *seed;
+  return masticshunt::demo::run(options);
+}
+
+constexpr std::array local_commands{
+    command{"demo", "Runs both deployments of the brief in this process, with faults",
+            "  masticshunt demo [--deployment=NAME] [--seconds=N] [--seed=N]\n\nOptions:\n"
+            "  --deployment=NAME  imhof, llyfrnod or both [default: both].\n"
+            "  --seconds=N        How long each deployment is under load [default: 12].\n"
+            "  --seed=N           Drives the load [default: 1].\n",
+            &run_demo},
+    command{"agent", "Runs the agent beside one upstream",
+            "  masticshunt agent --config=FILE\n\nOptions:\n"
+            "  --config=FILE  The agent's settings.\n",
+            &run_agent_command},
+    command{"store-stand-in", "Runs an in-memory stand-in of the platform's store",
+            "  masticshunt store-stand-in [--port=N]\n\nOptions:\n"
+            "  --port=N  The port on 127.0.0.1 [default: 4700].\n",
+            &run_store_stand_in},
+    command{"version", "Prints the version and build", "  masticshunt version\n", &run_version},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto remote = masticshunt::operators::operator_commands();
+  std::vector<command> commands(remote.begin(), remote.end());
+  std::ranges::copy(local_commands, std::back_inserter(commands));
+  return masticshunt::operators::run_command(commands, {argv + 1, argv + argc});
 }
