Take work from an upstream whose requests fail or stay unanswered

Cause: a frozen upstream that still announces itself kept its keys; only a refused connection or three silent seconds moved them. Change: the outlier detector judges the one upstream beside the agent by outcomes of prompt requests; a caller's short deadline does not count; announcements are not trusted while it is set aside. The gate learns of callers that leave.

--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -119,6 +119,8 @@
       announced_.reset();
       handle(ownership::upstream_lost{"it takes no more work"});
     }
+  } else if (!tables_->upstream_trusted(boot_now())) {
+    announced_.reset();
   } else if (announced_ != announcement->upstream || !tables_->has_upstream()) {
     announced_ = announcement->upstream;
     tables_->upstream_announced(announcement->upstream);
--- a/src/agent/internal/shared_tables.cpp
+++ b/src/agent/internal/shared_tables.cpp
@@ -15,10 +15,25 @@
 
 namespace {
 
+/// The one member of the health table: the upstream beside this agent.
+constexpr std::string_view own_upstream = "upstream";
+/// Ranks with a longer target, and requests with a body to stream, say nothing about silence.
+constexpr std::chrono::milliseconds prompt_target_max{1'000};
+constexpr std::uint64_t prompt_body_bytes_max = 64 * 1024;
+
 requests::attempt_id attempt_of(const requests::gate_action& step) {
   return std::visit([](const auto& each) { return each.attempt; }, step);
 }
 
+/// Returns `result`, but for a time-out that came sooner than an upstream can be blamed for: a
+/// caller's short deadline says nothing about the upstream.
+requests::attempt_result result_for_health(const local_permit& permit,
+                                           requests::attempt_result result, time_point now) {
+  const bool too_short =
+      result == requests::attempt_result::timed_out && now - permit.granted_at < prompt_target_max;
+  return too_short ? requests::attempt_result::cancelled : result;
+}
+
 /// Hands a gate's verdict to the session that waits for it, on the session's own executor.
 void deliver(const std::shared_ptr<gate_waiter>& waiter, const requests::gate_action& step) {
   asio::post(waiter->executor, [waiter, step] {
@@ -38,7 +53,10 @@
       core_(std::move(core)),
       gate_(requests::gate_settings{{{"default", 0, 1, std::chrono::seconds{1}}}, 1, 1}),
       ledger_(requests::ledger_settings{}),
-      retry_(retry) {}
+      health_(requests::outlier_settings{}),
+      retry_(retry) {
+  health_.joined(own_upstream, false, boot_now());
+}
 
 ownership::actions shared_tables::handle(const ownership::event& what, time_point now) {
   const std::scoped_lock guard(core_lock_);
@@ -104,7 +122,7 @@
     leave_gate(request);
     co_return local_refusal{requests::outcome::not_run, refusal_reason::not_owner, {}};
   }
-  co_return make_permit(request, *renewed, waiter);
+  co_return make_permit(request, *renewed, *service, waiter);
 }
 
 void shared_tables::leave_gate(const requests::request_descriptor& request) {
@@ -119,13 +137,23 @@
 
 local_permit shared_tables::make_permit(const requests::request_descriptor& request,
                                         const ownership::admission_ticket& ticket,
-                                        std::shared_ptr<gate_waiter> waiter) const {
+                                        const service_view& service,
+                                        std::shared_ptr<gate_waiter> waiter) {
+  const bool prompt_rank = request.rank >= service.ranks.size() ||
+                           service.ranks[request.rank].target <= prompt_target_max;
   const std::scoped_lock guard(gate_lock_);
-  local_permit permit{request, ticket, upstream_.value_or(ownership::upstream_description{}),
-                      request.deadline, std::move(waiter)};
+  local_permit permit{request,
+                      ticket,
+                      upstream_.value_or(ownership::upstream_description{}),
+                      request.deadline,
+                      std::move(waiter),
+                      false,
+                      boot_now()};
+  permit.answers_soon = prompt_rank && request.body_bytes <= prompt_body_bytes_max;
   if (!permit.upstream.checks_fences) {
     permit.deadline = std::min(permit.deadline, ticket.lease_end);
   }
+  if (permit.answers_soon) health_.sent(own_upstream, boot_now());
   return permit;
 }
 
@@ -186,9 +214,36 @@
       ledger_.ended(permit.request, knowledge, std::move(answer), boot_now());
     }
     leave_range(permit.ticket.range);
+    if (permit.answers_soon) {
+      health_.ended(own_upstream, result_for_health(permit, result, boot_now()), boot_now());
+    }
     steps = gate_.finished(permit.request.attempt, result, boot_now());
   }
   perform(steps);
+  judge_upstream(boot_now());
+}
+
+void shared_tables::judge_upstream(time_point now) {
+  {
+    const std::scoped_lock guard(gate_lock_);
+    if (!upstream_ || health_.set_aside(now) == 0) return;
+    upstream_.reset();
+  }
+  sink_(ownership::upstream_lost{"its requests fail or stay unanswered"});
+}
+
+bool shared_tables::upstream_trusted(time_point now) const {
+  const std::scoped_lock guard(gate_lock_);
+  return health_.set_aside(now) == 0;
+}
+
+void shared_tables::abandoned(requests::attempt_id attempt) {
+  requests::gate_actions steps;
+  {
+    const std::scoped_lock guard(gate_lock_);
+    steps = gate_.abandoned(attempt, boot_now());
+  }
+  perform(steps);
 }
 
 bool shared_tables::still_owned(const local_permit& permit) {
@@ -255,8 +310,10 @@
     const std::scoped_lock guard(gate_lock_);
     if (gate_.waiting() == 0 && gate_.running() == 0) return;
     steps = gate_.tick(now);
+    health_.tick(now);
   }
   perform(steps);
+  judge_upstream(now);
 }
 
 void shared_tables::first_attempt() {
--- a/src/agent/internal/shared_tables.h
+++ b/src/agent/internal/shared_tables.h
@@ -21,6 +21,7 @@
 #include "agent/internal/service_catalog.h"
 #include "masticshunt/decisions/ownership/agent_core.h"
 #include "masticshunt/decisions/requests/gate.h"
+#include "masticshunt/decisions/requests/outlier_detector.h"
 #include "masticshunt/decisions/requests/repeat_ledger.h"
 #include "masticshunt/decisions/requests/retry.h"
 
@@ -43,6 +44,8 @@
   ownership::upstream_description upstream;
   time_point deadline;  ///< The request's, cut to the lease's end for an upstream without fences.
   std::shared_ptr<gate_waiter> waiter;
+  bool answers_soon = false;  ///< A late answer speaks against the upstream's health.
+  time_point granted_at;
 };
 
 /// A local attempt that may not be sent.
@@ -102,6 +105,11 @@
   void upstream_announced(const ownership::upstream_description& upstream);
   /// Reports that the upstream refuses connections; tells the core once.
   void upstream_refused(const ownership::upstream_description& upstream);
+  /// Returns false while the upstream is set aside for what its requests came to, whatever it
+  /// announces.
+  [[nodiscard]] bool upstream_trusted(time_point now) const;
+  /// Reports that the caller of `permit`'s request has left while it waited at the gate.
+  void abandoned(requests::attempt_id attempt);
   /// Nothing new starts on `range`; reports `range_quiet` once nothing runs there.
   void finish_range(const hash_range& range);
   /// Lets time act at the gate.
@@ -137,13 +145,14 @@
   bool enter_range(const requests::request_descriptor& request,
                    const ownership::admission_ticket& ticket,
                    std::optional<ownership::admission_ticket>& renewed);
+  void judge_upstream(time_point now);
   void leave_range(const hash_range& range);
   void leave_gate(const requests::request_descriptor& request);
   void give_up(const requests::request_descriptor& request);
   requests::gate_settings gate_settings_of(const ownership::upstream_description& upstream) const;
   local_permit make_permit(const requests::request_descriptor& request,
-                           const ownership::admission_ticket& ticket,
-                           std::shared_ptr<gate_waiter> waiter) const;
+                           const ownership::admission_ticket& ticket, const service_view& service,
+                           std::shared_ptr<gate_waiter> waiter);
 
   event_sink sink_;
 
@@ -156,6 +165,7 @@
   std::optional<ownership::upstream_description> upstream_;
   requests::gate gate_;
   requests::repeat_ledger ledger_;
+  requests::outlier_detector health_;  ///< Of the one upstream beside this agent.
   std::unordered_map<requests::attempt_id, std::shared_ptr<gate_waiter>> waiters_;
   std::vector<std::pair<hash_range, std::size_t>> running_ranges_;
   std::vector<hash_range> finishing_;
