--- a/include/masticshunt/platform/store_stand_in.h
+++ b/include/masticshunt/platform/store_stand_in.h
@@ -40,7 +40,7 @@
  public:
   /// Listens on `address` and `port` (0: any free one). Throws boost::system::system_error if it
   /// cannot.
-  explicit store_stand_in(boost::asio::any_io_executor executor, std::uint16_t port = 0,
+  explicit store_stand_in(const boost::asio::any_io_executor& executor, std::uint16_t port = 0,
                           const std::string& address = "127.0.0.1");
   ~store_stand_in();
   store_stand_in(const store_stand_in&) = delete;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,10 +9,12 @@
 
 #include "masticshunt/agent/run.h"
 #include "masticshunt/agent/settings.h"
+#include "masticshunt/bench/run.h"
 #include "masticshunt/demo/run.h"
 #include "masticshunt/operator/command.h"
 #include "masticshunt/platform/store_stand_in.h"
 #include "masticshunt/support/log.h"
+#include "masticshunt/upstream/stand_in.h"
 
 namespace {
 
@@ -23,6 +25,7 @@
 using masticshunt::operators::text_argument;
 
 constexpr std::uint64_t port_max = 65'535;
+constexpr std::uint64_t slots_max = 100'000;
 
 /// Returns the whole number that `with` holds under `name`, or nothing.
 std::optional<std::uint64_t> number_argument(const arguments& with, const char* name) {
@@ -81,6 +84,41 @@
   return masticshunt::demo::run(options);
 }
 
+int run_bench(const arguments& with) {
+  masticshunt::bench::bench_options options;
+  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+  options.output_directory = text_argument(with, "--results").value_or("");
+  options.strict = with.at("--strict").asBool();
+  if (const auto scenario = text_argument(with, "--scenario")) options.scenarios = {*scenario};
+  const auto seconds = number_argument(with, "--seconds");
+  const auto seed = number_argument(with, "--seed");
+  if (!seconds || !seed || *seconds == 0) {
+    std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
+    return exit_usage;
+  }
+  options.duration = std::chrono::seconds{*seconds};
+  options.seed = *seed;
+  return masticshunt::bench::run(options);
+}
+
+int run_upstream_stand_in(const arguments& with) {
+  masticshunt::upstream::stand_in_settings settings;
+  settings.service = text_argument(with, "--service").value_or(settings.service);
+  settings.agent = text_argument(with, "--agent").value_or("");
+  const auto port = number_argument(with, "--port");
+  const auto slots = number_argument(with, "--slots");
+  const auto incarnation = number_argument(with, "--incarnation");
+  if (!port || *port > port_max || !slots || *slots == 0 || *slots > slots_max || !incarnation) {
+    std::fputs("masticshunt: --port, --slots or --incarnation is out of range; see --help\n",
+               stderr);
+    return exit_usage;
+  }
+  settings.port = static_cast<std::uint16_t>(*port);
+  settings.slots = static_cast<std::uint32_t>(*slots);
+  settings.incarnation = *incarnation;
+  return masticshunt::upstream::run_stand_in(settings);
+}
+
 const std::array local_commands{
     command{"demo", "Runs both deployments of the brief in this process, with faults",
             "  masticshunt demo [--deployment=NAME] [--seconds=N] [--seed=N]\n\nOptions:\n"
@@ -92,10 +130,27 @@
             "  masticshunt agent --config=FILE\n\nOptions:\n"
             "  --config=FILE  The agent's settings.\n",
             &run_agent_command},
+    command{"bench", "Measures the path over loopback sockets against its targets",
+            "  masticshunt bench [options]\n\nOptions:\n"
+            "  --deployment=NAME  imhof, llyfrnod or both [default: imhof].\n"
+            "  --scenario=NAME    One scenario only.\n"
+            "  --seconds=N        Load of one scenario [default: 4].\n"
+            "  --seed=N           Drives the load [default: 1].\n"
+            "  --results=DIR      Where results and plots go.\n"
+            "  --strict           A missed target fails the run as well.\n",
+            &run_bench},
     command{"store-stand-in", "Runs an in-memory stand-in of the platform's store",
             "  masticshunt store-stand-in [--port=N]\n\nOptions:\n"
             "  --port=N  The port on 127.0.0.1 [default: 4700].\n",
             &run_store_stand_in},
+    command{"upstream-stand-in", "Runs a stand-in of an upstream server",
+            "  masticshunt upstream-stand-in [options]\n\nOptions:\n"
+            "  --service=NAME   The service that it serves [default: demo].\n"
+            "  --port=N         The port on 127.0.0.1; 0 takes any [default: 0].\n"
+            "  --agent=ADDR     The upstream port of the agent beside it, IP:PORT.\n"
+            "  --slots=N        Requests it runs at once, 1 to 100000 [default: 12].\n"
+            "  --incarnation=N  Changes when it restarts without its state [default: 1].\n",
+            &run_upstream_stand_in},
     command{"version", "Prints the version and build", "  masticshunt version\n", &run_version},
 };
 
--- a/src/operator/apply.cpp
+++ b/src/operator/apply.cpp
@@ -10,7 +10,6 @@
 namespace masticshunt::operators {
 
 using configuration::record;
-using configuration::record_kind;
 using nlohmann::json;
 using ownership::store_object;
 
--- a/src/platform/store_stand_in.cpp
+++ b/src/platform/store_stand_in.cpp
@@ -389,7 +389,7 @@
   faults faults_;
 };
 
-store_stand_in::store_stand_in(asio::any_io_executor executor, std::uint16_t port,
+store_stand_in::store_stand_in(const asio::any_io_executor& executor, std::uint16_t port,
                                const std::string& address)
     : implementation_(std::make_shared<implementation>(executor, port, address)) {
   implementation_->start();
