--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -167,9 +167,12 @@
 }
 
 int finish_apply(command_context& context, const apply_report& report) {
-  context.print(report_text(report), report_json(report));
+  const bool dry_run = context.flag("--dry-run");
+  auto value = report_json(report);
+  value["dry_run"] = dry_run;
+  context.print(report_text(report) + (dry_run ? "dry run: nothing was written\n" : ""), value);
   if (const auto failed = report.first_failure()) return exit_code_of(failed->kind);
-  return context.flag("--dry-run") ? exit_ok : wait_if_asked(context, report.revision());
+  return dry_run ? exit_ok : wait_if_asked(context, report.revision());
 }
 
 int apply_and_finish(command_context& context, const std::vector<file_record>& records) {
--- a/tests/agent/settings_test.cpp
+++ b/tests/agent/settings_test.cpp
@@ -19,14 +19,18 @@
     "[agent]\nname = a\nregion = R\nfailure_domain = D\naddress = 10.0.0.1\n"
     "[store]\naddresses = 10.0.0.2:4700, 10.0.0.3:4700\n";
 
-std::string sample() {
+std::string page_text(const std::string& name) {
   failure reason;
-  const auto page = std::filesystem::path(__FILE__).parent_path() / "../../docs/samples/agent.ini";
+  const auto page = std::filesystem::path(__FILE__).parent_path() / "../../docs" / name;
   const auto text = support::read_file(page.string(), reason);
   expect_true(text.has_value(), reason.describe());
   return *text;
 }
 
+std::string sample() {
+  return page_text("samples/agent.ini");
+}
+
 failure refusal(const std::string& text) {
   failure reason;
   expect_false(parse_agent_settings("agent.ini", text, reason).has_value(), text);
@@ -52,6 +56,13 @@
   }
 }
 
+Test(agent_settings, page_explains_every_key) {
+  const auto page = page_text("SETTINGS.md");
+  for (const auto& each : setting_descriptions()) {
+    expect_true(page.find("| `" + std::string(each.key) + "` |") != std::string::npos, each.key);
+  }
+}
+
 Test(agent_settings, sample_states_the_defaults) {
   failure reason;
   const auto written = parse_agent_settings("sample", sample(), reason);
--- a/tests/operator/record_file_test.cpp
+++ b/tests/operator/record_file_test.cpp
@@ -1,8 +1,11 @@
 #include "operator/internal/record_file.h"
 
+#include <filesystem>
 #include <random>
 
 #include "expect.h"
+#include "masticshunt/decisions/configuration/registry.h"
+#include "masticshunt/support/ini.h"
 
 using namespace masticshunt;
 using namespace masticshunt::operators;
@@ -51,6 +54,21 @@
   }
 }
 
+Test(record_file, sample_is_valid_and_fits_together) {
+  failure reason;
+  const auto path =
+      std::filesystem::path(__FILE__).parent_path() / "../../docs/samples/records.ini";
+  const auto text = support::read_file(path.string(), reason);
+  expect_true(text.has_value(), path.string());
+  const auto records = parse_records("records.ini", *text, reason);
+  expect_true(records.has_value());
+  std::vector<configuration::planned_change> changes;
+  for (const auto& each : *records) {
+    changes.push_back({object_name(each.content), to_value(each.content)});
+  }
+  expect_false(configuration::breakage({}, changes).has_value());
+}
+
 Test(record_file, names_the_line_of_the_key_at_fault) {
   expect_true(refusal("[rank a.b]\nschema = 1\nfloor = 2\n").message.starts_with("f:3: "));
   expect_true(refusal("[rank a.b]\nschema = 1\ntarget = 5\n").message.starts_with("f:3: "));
--- /dev/null
+++ b/tests/platform/hostile_store_test.cpp
@@ -0,0 +1,117 @@
+/// The store client against answers that no store should give.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <random>
+
+#include "expect.h"
+#include "masticshunt/platform/store_client.h"
+#include "store_fixture.h"
+
+using namespace masticshunt;
+using namespace masticshunt::platform;
+using boost::asio::ip::tcp;
+using masticshunt::platform::testing::store_fixture;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_true;
+
+namespace {
+
+/// Answers every connection with the same bytes and closes it.
+class scripted_store {
+ public:
+  explicit scripted_store(boost::asio::io_context& context)
+      : acceptor_(context, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  [[nodiscard]] endpoint address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  std::string answer;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+      if (error) return;
+      auto held = std::make_shared<tcp::socket>(std::move(socket));
+      auto request = std::make_shared<std::string>();
+      boost::asio::async_read_until(*held, boost::asio::dynamic_buffer(*request), "\r\n\r\n",
+                                    [this, held, request](const auto&, std::size_t) {
+                                      boost::system::error_code ignored;
+                                      boost::asio::write(*held, boost::asio::buffer(answer),
+                                                         ignored);
+                                      held->shutdown(tcp::socket::shutdown_both, ignored);
+                                    });
+      accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+};
+
+/// A client of a scripted store.
+struct hostile_fixture {
+  hostile_fixture() : store(context), client(context.get_executor(), settings(), 1) {}
+
+  store_client_settings settings() const {
+    auto result = store_fixture::quick_settings();
+    result.addresses = {store.address()};
+    result.call_deadline = std::chrono::milliseconds{20};
+    return result;
+  }
+
+  ownership::store_list_done list() {
+    std::optional<ownership::store_list_done> done;
+    client.async_list({1, "a", std::nullopt}, [&](auto end) { done = std::move(end); });
+    while (!done) context.run_one();
+    return std::move(*done);
+  }
+
+  boost::asio::io_context context;
+  scripted_store store;
+  store_client client;
+};
+
+std::string ok_with(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nETag: \"3\"\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+const std::string good_list =
+    R"({"revision":3,"objects":[{"name":"a/1","version":3,"value":"x"}]})";
+
+}  // namespace
+
+Test(hostile_store, whose_list_is_malformed_is_refused) {
+  for (const auto* body : {"", "[]", "{}", R"({"revision":-1,"objects":[]})",
+                           R"({"revision":1,"objects":[{"name":1,"version":1}]})",
+                           R"({"revision":1,"objects":[{"name":"a"}]})"}) {
+    hostile_fixture each;
+    each.store.answer = ok_with(body);
+    const auto done = each.list();
+    expect_true(!done.objects.has_value(), body);
+    expect_equal(done.reason.kind, failure_kind::bad_input, body);
+  }
+}
+
+Test(hostile_store, whose_answer_is_cut_off_is_unavailable) {
+  hostile_fixture each;
+  each.store.answer = ok_with(good_list);
+  each.store.answer.resize(each.store.answer.size() - 5);
+  expect_equal(each.list().reason.kind, failure_kind::unavailable);
+}
+
+Test(hostile_store, of_any_bytes_ends_every_call_once) {
+  std::mt19937_64 random{13};
+  hostile_fixture each;
+  for (int round = 0; round < 150; ++round) {
+    each.store.answer = ok_with(good_list);
+    for (int edits = 0; edits < 3; ++edits) {
+      each.store.answer[random() % each.store.answer.size()] = static_cast<char>(random());
+    }
+    const auto done = each.list();
+    expect_true(done.objects.has_value() || !done.reason.message.empty());
+  }
+}
