--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -234,6 +234,7 @@
     while (place != no_index && now - attempts.at(place).started_at > bound) {
       attempt_entry& entry = attempts.at(place);
       entry.overdue = true;
+      ++overdue;
       key_node& key = keys.at(entry.key_node);
       ++key.overdue;
       key.stalled = true;
@@ -252,7 +253,10 @@
   --running;
   key_node& key = keys.at(entry.key_node);
   --key.running;
-  if (entry.overdue) --key.overdue;
+  if (entry.overdue) {
+    --key.overdue;
+    --overdue;
+  }
   const bool quick = !entry.overdue && result == attempt_result::answered;
   if (quick && key.overdue == 0) key.stalled = false;
   unpark(entry.key_node);
@@ -262,7 +266,8 @@
 
 void gate::state::learn(const attempt_entry& entry, attempt_result result, time_point now) {
   const duration service = now - entry.started_at;
-  limit.observe({entry.rank, service, running, result});
+  const bool few_stall = overdue > 0 && 2 * overdue < running;
+  if (!few_stall) limit.observe({entry.rank, service, running, result});
   if (result == attempt_result::answered) ranks[entry.rank].service.observe(service);
 }
 
--- a/src/decisions/requests/internal/gate_state.h
+++ b/src/decisions/requests/internal/gate_state.h
@@ -53,6 +53,7 @@
   concurrency_limit limit;
   gate_counts counts;
   std::uint32_t running = 0;
+  std::uint32_t overdue = 0;  ///< Of these, attempts that run much longer than usual.
   std::uint32_t rank_capacity;
 
  private:
@@ -76,6 +77,8 @@
   void start(pool_index place, time_point now, gate_actions& actions);
   void insert_running(pool_index place);
   void mark_overdue(time_point now);
+  /// Learns from the end of an attempt. While a few attempts stall, the limit learns nothing: they
+  /// hold slots without telling how many there are.
   void learn(const attempt_entry& entry, attempt_result result, time_point now);
 };
 
