--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -3,6 +3,7 @@
 #include <set>
 #include <string_view>
 
+#include "internal/capacity_group.h"
 #include "internal/capacity_inputs.h"
 #include "internal/capacity_policies.h"
 #include "internal/capacity_report.h"
@@ -46,6 +47,7 @@
   measured_slopes slopes;
   if (asked.wants("routing")) measure_routing(out, asked.seed, slopes);
   if (asked.wants("requests")) measure_requests(out, asked.seed, slopes);
+  if (asked.wants("group")) measure_group(out, slopes);
   if (asked.wants("hot-keys")) measure_hot_keys(out, asked.seed, slopes);
   if (asked.wants("placement")) measure_placement(out, asked.seed, slopes);
   if (asked.wants("fan-out")) measure_fan_out(out, asked.seed, slopes);
--- a/tools/internal/capacity_spread.h
+++ b/tools/internal/capacity_spread.h
@@ -4,9 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include "capacity_inputs.h"
 #include "capacity_measure.h"
 #include "capacity_routing.h"
 #include "decisions/ownership/spread_network.h"
+#include "masticshunt/decisions/ownership/spread_patch.h"
 
 namespace masticshunt::capacity {
 
