--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -10,6 +10,7 @@
 #include "internal/capacity_requests.h"
 #include "internal/capacity_routing.h"
 #include "internal/capacity_spread.h"
+#include "internal/capacity_target.h"
 
 using namespace masticshunt::capacity;
 
@@ -54,5 +55,6 @@
   if (asked.wants("ordinary")) measure_ordinary_day(out, inputs, asked.seed, slopes);
   if (asked.wants("events")) measure_events(out, asked.seed, slopes);
   if (asked.wants("memory")) measure_held_objects(out, slopes);
+  if (asked.only.empty()) write_target_tables(out, inputs, slopes);
   return EXIT_SUCCESS;
 }
