--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdio>
 #include <iterator>
+#include <optional>
 
 #include "masticshunt/agent/run.h"
 #include "masticshunt/agent/settings.h"
@@ -21,6 +22,8 @@
 using masticshunt::operators::exit_usage;
 using masticshunt::operators::text_argument;
 
+constexpr std::uint64_t port_max = 65'535;
+
 /// Returns the whole number that `with` holds under `name`, or nothing.
 std::optional<std::uint64_t> number_argument(const arguments& with, const char* name) {
   const auto text = text_argument(with, name).value_or("");
@@ -48,15 +51,14 @@
 }
 
 int run_store_stand_in(const arguments& with) {
-  const auto text = text_argument(with, "--port").value_or("");
-  std::uint16_t port = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
-  if (error != std::errc{} || end != text.data() + text.size()) {
+  const auto port = number_argument(with, "--port");
+  if (!port || *port > port_max) {
     std::fputs("masticshunt: --port is no port; write a number from 0 to 65535\n", stderr);
     return exit_usage;
   }
   boost::asio::io_context context;
-  masticshunt::platform::store_stand_in store(context.get_executor(), port);
+  masticshunt::platform::store_stand_in store(context.get_executor(),
+                                              static_cast<std::uint16_t>(*port));
   std::printf("store stand-in listens on %s\n", store.address().c_str());
   std::fflush(stdout);
   boost::asio::signal_set signals(context, SIGINT, SIGTERM);
@@ -79,7 +81,7 @@
   return masticshunt::demo::run(options);
 }
 
-constexpr std::array local_commands{
+const std::array local_commands{
     command{"demo", "Runs both deployments of the brief in this process, with faults",
             "  masticshunt demo [--deployment=NAME] [--seconds=N] [--seed=N]\n\nOptions:\n"
             "  --deployment=NAME  imhof, llyfrnod or both [default: both].\n"
--- /dev/null
+++ b/tests/operator/command_test.cpp
@@ -0,0 +1,57 @@
+#include "masticshunt/operator/command.h"
+
+#include <cstdlib>
+
+#include "expect.h"
+#include "operator/internal/agent_query.h"
+
+using namespace masticshunt;
+using namespace masticshunt::operators;
+using masticshunt::testing::expect_equal;
+using masticshunt::testing::expect_true;
+
+namespace {
+
+int run(const std::vector<std::string>& words) {
+  return run_command(operator_commands(), words);
+}
+
+}  // namespace
+
+Test(command, that_does_not_exist_is_a_usage_error) {
+  expect_equal(run({"aply"}), static_cast<int>(exit_usage));
+  expect_equal(run({}), static_cast<int>(exit_usage));
+  expect_equal(run({"help"}), static_cast<int>(exit_ok));
+}
+
+Test(command, of_every_name_explains_itself) {
+  for (const auto& each : operator_commands()) {
+    expect_equal(run({std::string(each.name), "--help"}), static_cast<int>(exit_ok), each.name);
+  }
+}
+
+Test(command, refuses_unknown_options_and_missing_addresses) {
+  unsetenv("MASTICSHUNT_STORE");
+  unsetenv("MASTICSHUNT_AGENTS");
+  expect_equal(run({"list", "--colour"}), static_cast<int>(exit_usage));
+  expect_equal(run({"list"}), static_cast<int>(exit_usage));
+  expect_equal(run({"status"}), static_cast<int>(exit_usage));
+  expect_equal(run({"get", "nonsense", "a"}), static_cast<int>(exit_usage));
+}
+
+Test(command, tells_an_agent_that_does_not_answer_by_its_exit_code) {
+  expect_equal(run({"status", "--agent=127.0.0.1:1"}), static_cast<int>(exit_unavailable));
+}
+
+Test(exit_code, tells_conflicts_outages_and_refused_schemas_apart) {
+  expect_equal(exit_code_of(failure_kind::conflict), exit_conflict);
+  expect_equal(exit_code_of(failure_kind::unavailable), exit_unavailable);
+  expect_equal(exit_code_of(failure_kind::unsupported), exit_not_accepted);
+  expect_equal(exit_code_of(failure_kind::not_found), exit_not_found);
+}
+
+Test(revision_in_force, prefers_what_holds_everywhere) {
+  expect_equal(revision_in_force(R"({"config_revision":9,"config_revision_everywhere":7})"), 7U);
+  expect_equal(revision_in_force(R"({"config_revision":9})"), 9U);
+  expect_equal(revision_in_force("nonsense"), 0U);
+}
