Never say "not run" after an attempt that may have run

Cause: the entry told the outcome of the last attempt only. An idempotent request whose first attempt broke (flooded upstream, closed connection) and whose retry was refused for overload was refused as not run although the first attempt had run. Ruled out: double runs and the ledger, as all cases were GET or PUT. Change: attempt_history folds the outcomes of all attempts; only if none may have run is the refusal "not run". Tests state the three cases.

--- a/src/agent/internal/session.cpp
+++ b/src/agent/internal/session.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "agent/internal/socket_watchdog.h"
+#include "masticshunt/decisions/requests/attempt_history.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::agent {
@@ -62,6 +63,7 @@
   std::string rank_name;
   std::string request_id;
   time_point started = boot_now();
+  requests::attempt_history history;
   std::uint32_t attempts = 0;
   std::uint32_t owner_waits = 0;
   agent_id tried_owner;  ///< The owner of the last attempt, with its token.
@@ -204,10 +206,18 @@
     if (end.answer_passed) {
       co_return side.parser.get().keep_alive() && side.parser.is_done();
     }
+    current.history.add(end.why.what);
     const bool may_retry =
         from_ == arrival::from_caller && !side.body_taken && !end.never_sent_again;
     const bool again = may_retry && co_await wait_before_retry(current, end);
     if (!again) {
+      if (end.why.what == outcome::not_run &&
+          current.history.told(outcome::not_run) != outcome::not_run) {
+        end.why.message = "an earlier attempt may have run; the last one was refused: " +
+                          std::string(to_string(end.why.reason));
+        end.why.reason = refusal_reason::none;
+      }
+      end.why.what = current.history.told(end.why.what);
       count(end.why.what);
       if (end.why.owner.empty()) end.why.owner = owner_hint(current);
       co_return co_await refuse(end.why, current.request_id,
