--- a/include/masticshunt/decisions/ownership/agent_core.h
+++ b/include/masticshunt/decisions/ownership/agent_core.h
@@ -162,10 +162,11 @@
   bool words_not_awaited = false;            ///< Owners change without other renewers' words.
   bool grant_end_not_awaited = false;        ///< Owners change before their grants have ended.
   bool withdrawn_supporter_counted = false;  ///< Supports of withdrawn renewers still count.
-  bool old_page_promises = false;    ///< A renewer promises about a page that it does not hold yet.
-  bool right_unchecked = false;      ///< Renewers renew without any support.
-  bool incarnation_ignored = false;  ///< A restarted owner is taken for the old one.
-  bool epoch_unchecked = false;      ///< Old pages replace newer ones.
+  bool old_page_promises = false;  ///< A renewer promises about a page that it does not hold yet.
+  bool new_tokens_uncovered = false;  ///< Words about old tokens are taken for newer ones too.
+  bool right_unchecked = false;       ///< Renewers renew without any support.
+  bool incarnation_ignored = false;   ///< A restarted owner is taken for the old one.
+  bool epoch_unchecked = false;       ///< Old pages replace newer ones.
   bool conflict_overwritten = false;  ///< A refused page write is forced over the winner.
   bool lease_end_unchecked = false;   ///< A lease goes on after its end.
   bool records_revert = false;        ///< Older records replace newer ones.
--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -17,6 +17,15 @@
 constexpr duration settle_time = std::chrono::milliseconds{300};
 constexpr duration forget_member_after = std::chrono::seconds{10};
 
+/// Returns the sequence of the newest token of `owner`; zero if it owns nothing.
+std::uint64_t newest_token(const assignment_page& page, const agent_id& owner) {
+  std::uint64_t newest = 0;
+  for (const auto& entry : page.ranges) {
+    if (entry.owner == owner) newest = std::max(newest, entry.token.sequence);
+  }
+  return newest;
+}
+
 }  // namespace
 
 coordinator::coordinator(agent_description self, lease_timing timing, fault_injection faults,
@@ -220,6 +229,9 @@
   if (evidence_ended(owner, now)) return true;
   const auto change = changes_.find(owner);
   if (change == changes_.end()) return false;
+  if (newest_token(page, owner) > change->second.up_to && !faults_.new_tokens_uncovered) {
+    return false;
+  }
   if (!faults_.grant_end_not_awaited && rights.last_grant_end(owner) > now) return false;
   return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
     if (other.appointment == rights.appointment() || faults_.words_not_awaited) return true;
@@ -247,7 +259,9 @@
     const bool stands = found != changes_.end() && !may_take_back;
     const bool wanted = stands || suspect(owner, step.now);
     if (!wanted && found == changes_.end()) continue;
-    if (wanted && found == changes_.end()) {
+    const bool outgrown =
+        found != changes_.end() && newest_token(page, owner) > found->second.up_to;
+    if (wanted && (found == changes_.end() || outgrown)) {
       changes_[owner] = {next_number_++, page.owner_changes, {}, {}};
     }
     auto& change = changes_[owner];
