--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "masticshunt/base/failure.h"
+#include "masticshunt/decisions/ownership/spread_messages.h"
 #include "masticshunt/decisions/ownership/types.h"
 
 namespace masticshunt::ownership {
@@ -132,8 +133,10 @@
 /// Asks a renewer to stop renewing an owner, or takes the demand back.
 struct stop_request {
   group_name group;
-  std::uint64_t epoch = 0;   ///< The coordinator's.
-  std::uint64_t number = 0;  ///< Rises within the epoch; a lower pair is stale.
+  std::uint64_t epoch = 0;        ///< The coordinator's.
+  std::uint64_t number = 0;       ///< Rises within the epoch; a lower pair is stale.
+  std::uint64_t sequence = 0;     ///< Of the page that the coordinator holds; the renewer must too.
+  std::uint64_t appointment = 0;  ///< Of the renewer that is asked.
   agent_id owner;
   std::uint64_t up_to = 0;  ///< Tokens with a sequence up to this one are meant.
   bool active = true;       ///< False takes the demand back.
@@ -173,9 +176,10 @@
 };
 
 /// A control message.
-using message = std::variant<join_request, page_request, page_update, page_ack, renew_request,
-                             renew_reply, release_request, support_request, support_reply,
-                             stop_request, stop_reply, records_update>;
+using message =
+    std::variant<spread_notice, spread_pull, spread_objects, spread_digest, join_request,
+                 page_request, page_update, page_ack, renew_request, renew_reply, release_request,
+                 support_request, support_reply, stop_request, stop_reply, records_update>;
 
 /// Returns the CBOR form of `body` with its envelope. `from` is the sender's control endpoint.
 std::string encode(const message& body, const endpoint& from);
