--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -77,6 +77,14 @@
   expect_equal(each.store.counts().applied, 2U);
 }
 
+Test(store_client, takes_its_own_value_in_a_conflict_for_success) {
+  store_fixture each;
+  const auto first = each.write("a", 0, first_value);
+  const auto again = each.write("a", 0, first_value);
+  expect_equal(*again.version, *first.version);
+  expect_equal(each.store.counts().applied, 1U);
+}
+
 Test(store_client, says_that_an_unresolved_write_may_have_taken_effect) {
   store_fixture each;
   each.store.set_silent(true);
@@ -178,6 +186,15 @@
   expect_equal(each.store.counts().calls, 3U);
 }
 
+Test(store_client, keeps_its_budget_while_the_store_is_down) {
+  auto settings = tight_budget();
+  settings.burst = 5;
+  store_fixture each(settings);
+  each.store.set_down(true);
+  for (int call = 0; call < 5; ++call) each.read("a");
+  expect_true(each.client.counts().reads <= 5);
+}
+
 Test(store_client, ends_every_call_once_when_it_is_stopped) {
   store_fixture each;
   each.store.set_silent(true);
