Never take back that an earlier attempt may have run

Cause: an entry agent tried an idempotent request again after a broken connection, and when the later attempt was refused it told the caller 'not run', although the first had run. Change: the session remembers that an attempt may have run; a later refusal as not run is told as may have run. Conclusion: 'not run' now covers all attempts of a request.

--- a/src/agent/internal/session.cpp
+++ b/src/agent/internal/session.cpp
@@ -58,6 +58,7 @@
   std::string rank_name;
   std::string request_id;
   std::uint32_t attempts = 0;
+  bool may_have_run = false;  ///< An earlier attempt may have run; no later one can take that back.
   bool on_reused_connection = false;
 };
 
@@ -206,7 +207,11 @@
       const double jitter = std::uniform_real_distribution<double>(0, 1)(worker_.random);
       delay = tables_.retry_delay(current.descriptor, last, jitter, boot_now());
     }
+    current.may_have_run |= end.why.what == outcome::may_have_run;
     if (!delay) {
+      if (current.may_have_run && end.why.what == outcome::not_run) {
+        end.why.what = outcome::may_have_run;
+      }
       count(end.why.what);
       if (end.why.owner.empty()) end.why.owner = owner_hint(current);
       co_return co_await refuse(end.why, current.request_id,
