--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -119,6 +119,8 @@
       announced_.reset();
       handle(ownership::upstream_lost{"it takes no more work"});
     }
+  } else if (!tables_->upstream_trusted(boot_now())) {
+    announced_.reset();
   } else if (announced_ != announcement->upstream || !tables_->has_upstream()) {
     announced_ = announcement->upstream;
     tables_->upstream_announced(announcement->upstream);
@@ -156,7 +158,7 @@
                           {"control", self_.control},
                           {"config_revision", tables_->config_revision()},
                           {"accepts_callers", tables_->accepts_callers()},
-                          {"stopping", stop_asked_.load()},
+                          {"stopping", stage_ != life_stage::serving},
                           {"running", tables_->running()}};
   if (announced_) {
     state["upstream"] = {{"service", announced_->service}, {"address", announced_->address}};
@@ -173,6 +175,7 @@
   add_counter(text, "requests_total", "{outcome=\"failed\"}", counts.failed);
   add_counter(text, "forwarded_total", "", counts.forwarded);
   add_counter(text, "retries_total", "", counts.retries);
+  add_counter(text, "redirects_total", "", counts.redirects);
   const auto control = control_->counts();
   add_counter(text, "control_messages_total", "{direction=\"sent\"}", control.messages_sent);
   add_counter(text, "control_messages_total", "{direction=\"received\"}",
--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -3,12 +3,14 @@
 #include <set>
 #include <string_view>
 
+#include "internal/capacity_group.h"
 #include "internal/capacity_inputs.h"
 #include "internal/capacity_policies.h"
 #include "internal/capacity_report.h"
 #include "internal/capacity_requests.h"
 #include "internal/capacity_routing.h"
 #include "internal/capacity_spread.h"
+#include "internal/capacity_target.h"
 
 using namespace masticshunt::capacity;
 
@@ -46,11 +48,13 @@
   measured_slopes slopes;
   if (asked.wants("routing")) measure_routing(out, asked.seed, slopes);
   if (asked.wants("requests")) measure_requests(out, asked.seed, slopes);
+  if (asked.wants("group")) measure_group(out, slopes);
   if (asked.wants("hot-keys")) measure_hot_keys(out, asked.seed, slopes);
   if (asked.wants("placement")) measure_placement(out, asked.seed, slopes);
   if (asked.wants("fan-out")) measure_fan_out(out, asked.seed, slopes);
   if (asked.wants("ordinary")) measure_ordinary_day(out, inputs, asked.seed, slopes);
   if (asked.wants("events")) measure_events(out, asked.seed, slopes);
   if (asked.wants("memory")) measure_held_objects(out, slopes);
+  if (asked.only.empty()) write_target_tables(out, inputs, slopes);
   return EXIT_SUCCESS;
 }
