--- a/include/masticshunt/base/identity.h
+++ b/include/masticshunt/base/identity.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -51,4 +52,7 @@
 /// Returns "epoch.sequence", as sent to upstreams in the fence header.
 std::string to_string(const fence_token& token);
 
+/// Returns the token in "epoch.sequence", or nothing if `text` is not one.
+std::optional<fence_token> fence_from_text(std::string_view text);
+
 }  // namespace masticshunt
--- a/include/masticshunt/caller/request_rules.h
+++ b/include/masticshunt/caller/request_rules.h
@@ -37,6 +37,7 @@
   std::optional<std::uint32_t> declared_attempt;
   std::optional<std::chrono::milliseconds> deadline;
   std::optional<std::uint64_t> content_length;
+  std::optional<fence_token> routed_fence;  ///< Of the owner that the entry agent routed by.
   bool chunked = false;
   bool forwarded = false;
 };
--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -34,6 +34,21 @@
   text += "masticshunt_" + name + labels + " " + std::to_string(value) + "\n";
 }
 
+void add_latencies(std::string& text, const std::string& name,
+                   const support::latency_metric& latencies) {
+  text += "# TYPE masticshunt_" + name + " histogram\n";
+  const auto bounds = latencies.bounds();
+  const auto counts = latencies.cumulative();
+  for (std::size_t index = 0; index < std::min(bounds.size(), counts.size()); ++index) {
+    add_counter(text, name + "_bucket", "{le=\"" + std::to_string(bounds[index]) + "\"}",
+                counts[index]);
+  }
+  add_counter(text, name + "_bucket", "{le=\"+Inf\"}", latencies.count());
+  add_counter(text, name + "_count", "", latencies.count());
+  const double sum_s = std::chrono::duration<double>(latencies.sum()).count();
+  text += "masticshunt_" + name + "_sum " + std::to_string(sum_s) + "\n";
+}
+
 }  // namespace
 
 void agent::implementation::post_event(ownership::event what) {
@@ -173,6 +188,7 @@
   add_counter(text, "requests_total", "{outcome=\"not-run\"}", counts.not_run);
   add_counter(text, "requests_total", "{outcome=\"may-have-run\"}", counts.may_have_run);
   add_counter(text, "requests_total", "{outcome=\"failed\"}", counts.failed);
+  add_latencies(text, "request_seconds", tables_->served_latency);
   add_counter(text, "forwarded_total", "", counts.forwarded);
   add_counter(text, "retries_total", "", counts.retries);
   add_counter(text, "redirects_total", "", counts.redirects);
--- a/src/agent/internal/session.cpp
+++ b/src/agent/internal/session.cpp
@@ -157,6 +157,7 @@
   descriptor.declared_attempt = current.asked.declared_attempt;
   descriptor.deadline =
       boot_now() + current.asked.deadline.value_or(current.service->record.default_deadline);
+  descriptor.routed_fence = current.asked.routed_fence;
   descriptor.body_bytes = current.asked.content_length.value_or(0);
   if (*rank < current.service->ranks.size()) current.rank_name = current.service->ranks[*rank].name;
   return std::nullopt;
@@ -204,6 +205,7 @@
     attempt_end end = co_await attempt(current, side);
     if (end.connection_lost) co_return false;
     if (end.answer_passed) {
+      tables_.served_latency.record(boot_now() - current.started);
       co_return side.parser.get().keep_alive() && side.parser.is_done();
     }
     current.history.add(end.why.what);
@@ -290,6 +292,7 @@
   }
   current.tried_owner = owner->owner.id;
   current.tried_token = owner->token;
+  current.descriptor.routed_fence = owner->token;
   if (owner->is_self) co_return co_await attempt_here(current, side);
   co_return co_await attempt_at(current, side, owner->owner);
 }
@@ -482,6 +485,7 @@
   copy_end_to_end_fields(received, request);
   request.set(http::field::host, owner.forward);
   request.set("Masticshunt-Forwarded", "1");
+  request.set("Masticshunt-Routed-Fence", to_string(current.tried_token));
   request.set("Masticshunt-Attempt-Number", std::to_string(current.attempts));
   request.set("Masticshunt-Deadline-Ms", milliseconds_left(current.descriptor.deadline));
   request.set("Masticshunt-Caller", current.descriptor.caller);
--- a/src/agent/internal/shared_tables.cpp
+++ b/src/agent/internal/shared_tables.cpp
@@ -91,7 +91,8 @@
   {
     const std::scoped_lock guard(gate_lock_);
     if (!request.idempotent) {
-      const auto verdict = ledger_.begin(request, ticket->owned_since, boot_now());
+      const auto verdict = ledger_.begin(
+          request, requests::ownership_view{ticket->owned_since, ticket->token}, boot_now());
       if (const auto* answered = std::get_if<requests::already_answered>(&verdict)) {
         co_return *answered;
       }
--- a/src/agent/internal/shared_tables.h
+++ b/src/agent/internal/shared_tables.h
@@ -24,6 +24,7 @@
 #include "masticshunt/decisions/requests/outlier_detector.h"
 #include "masticshunt/decisions/requests/repeat_ledger.h"
 #include "masticshunt/decisions/requests/retry.h"
+#include "masticshunt/support/metrics.h"
 
 namespace masticshunt::agent {
 
@@ -137,6 +138,7 @@
   [[nodiscard]] std::size_t running() const;
 
   request_counts counts;
+  support::latency_metric served_latency;  ///< From the header read to the whole answer passed on.
 
  private:
   struct gate_side;
--- a/src/caller/request_rules.cpp
+++ b/src/caller/request_rules.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::array<std::string_view, 4> caller_fields = {
     "Masticshunt-Rank", "Masticshunt-Deadline-Ms", "Masticshunt-Attempt", "Masticshunt-Caller"};
-constexpr std::array<std::string_view, 2> agent_fields = {"Masticshunt-Forwarded",
-                                                          "Masticshunt-Attempt-Number"};
+constexpr std::array<std::string_view, 3> agent_fields = {
+    "Masticshunt-Forwarded", "Masticshunt-Attempt-Number", "Masticshunt-Routed-Fence"};
 constexpr std::array<std::string_view, 4> single_fields = {"Idempotency-Key", "X-Request-Id",
                                                            "Content-Length", "Transfer-Encoding"};
 constexpr std::array<std::string_view, 9> hop_by_hop_fields = {
@@ -142,6 +142,16 @@
   return true;
 }
 
+bool read_routed_fence(const request_header& header, caller_request& request, failure& reason) {
+  const auto value = single(header, "Masticshunt-Routed-Fence");
+  if (!value) return true;
+  request.routed_fence = fence_from_text(*value);
+  if (request.routed_fence) return true;
+  reason = bad("the field Masticshunt-Routed-Fence is not <epoch>.<sequence>",
+               "update the agent that forwarded the request");
+  return false;
+}
+
 bool is_idempotent(http::verb method) {
   return method != http::verb::post && method != http::verb::patch;
 }
@@ -213,7 +223,7 @@
   }
   if (!check_names(header, from, reason) ||
       !read_target(as_view(header.target()), request, reason) ||
-      !read_fields(header, request, reason)) {
+      !read_fields(header, request, reason) || !read_routed_fence(header, request, reason)) {
     return std::nullopt;
   }
   request.idempotent = is_idempotent(header.method());
