Keep known stalled keys from taking the slots together

Cause: with 60 stalled keys, more than a target has slots, they held all of them. Change: while stalled attempts hold a tenth of the slots, a key known to stall gets no first slot.

--- a/include/masticshunt/decisions/requests/gate.h
+++ b/include/masticshunt/decisions/requests/gate.h
@@ -47,8 +47,9 @@
   std::uint32_t queue_capacity = 4096;  ///< Requests waiting at the most.
   queue_discipline discipline = queue_discipline::newest_first;
   limit_algorithm algorithm = limit_algorithm::gradient;
-  double key_share = 0.5;    ///< Share of the concurrency that one key may hold.
-  double stalled_after = 8;  ///< Multiple of the usual service time that makes a key stalled.
+  double key_share = 0.5;      ///< Share of the concurrency that one key may hold.
+  double stalled_share = 0.1;  ///< Share at which known stalled keys get no slot.
+  double stalled_after = 8;    ///< Multiple of the usual service time that makes a key stalled.
   duration backlog_after = std::chrono::milliseconds{100};  ///< A backlog this old is lasting.
   gate_faults faults;
 
--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -175,6 +175,10 @@
     refuse_waiting(place, refusal_reason::overloaded, actions);
     return std::nullopt;
   }
+  if (key.stalled && key.running == 0 && stalled_keys_hold_their_share()) {
+    refuse_waiting(place, refusal_reason::overloaded, actions);
+    return std::nullopt;
+  }
   if (key.running >= allowance(key)) {
     if (key.parked >= std::max(1U, rank_capacity / parked_share_per_key)) {
       refuse_waiting(place, refusal_reason::overloaded, actions);
@@ -333,6 +337,10 @@
   return key.stalled || key.overdue > 0 ? 1 : std::max(1U, share);
 }
 
+bool gate::state::stalled_keys_hold_their_share() const {
+  return !settings.faults.ignore_key_bound && overdue >= limit.value() * settings.stalled_share;
+}
+
 duration gate::state::overdue_after(std::size_t rank) const {
   const duration usual = ranks[rank].service.median();
   if (usual == duration{}) return duration::max();
--- a/src/decisions/requests/internal/gate_state.h
+++ b/src/decisions/requests/internal/gate_state.h
@@ -61,6 +61,7 @@
   [[nodiscard]] bool has_lasting_backlog(std::size_t rank, time_point now) const;
   [[nodiscard]] bool make_room(const attempt_entry& entry, time_point now, gate_actions& actions);
   [[nodiscard]] std::uint32_t allowance(const key_node& key) const;
+  [[nodiscard]] bool stalled_keys_hold_their_share() const;
   [[nodiscard]] duration overdue_after(std::size_t rank) const;
   [[nodiscard]] time_point waits_until(const attempt_entry& entry) const;
   [[nodiscard]] std::optional<pool_index> take(std::size_t rank, time_point now,
--- a/src/decisions/requests/internal/rank_shares.h
+++ b/src/decisions/requests/internal/rank_shares.h
@@ -24,8 +24,8 @@
 ///
 /// While a rank has waiting attempts and holds fewer slots than its floor, it earns credit at the
 /// rate of the difference, and spends it while it holds more. Floors that nobody uses are lent by
-/// urgency; the next free slot gives them back. A rank that is owed a whole slot and was passed over
-/// for a turn of all slots goes before everybody, also when the others' attempts end at once.
+/// urgency; the next free slot gives them back. A rank that is owed a whole slot and was passed
+/// over for a turn of all slots goes before everybody, also when the others' attempts end at once.
 /// Thread safety: none.
 class rank_shares {
  public:
--- a/tests/decisions/requests/gate_test.cpp
+++ b/tests/decisions/requests/gate_test.cpp
@@ -185,6 +185,22 @@
   expect_true(starts(actions, 1'001));
 }
 
+Test(gate, keeps_slots_free_of_known_stalled_keys) {
+  gate_fixture f;
+  const duration now = f.teach(milliseconds{10});
+  const auto offer_key = [&](attempt_id attempt, key_hash key, duration when) {
+    request_descriptor request = lookup(attempt);
+    request.hash = key;
+    return f.subject.offer(request, at(when));
+  };
+  for (key_hash key = 1; key <= 3; ++key) offer_key(1'000 + key, key, now);
+  f.subject.tick(at(now + milliseconds{200}));
+  f.subject.finished(1'003, attempt_result::timed_out, at(now + milliseconds{200}));
+  const duration later = now + milliseconds{210};
+  expect_equal(reason_of(offer_key(1'004, 3, later), 1'004), refusal_reason::overloaded);
+  expect_true(starts(offer_key(1'005, 9, later), 1'005));
+}
+
 Test(gate, refuses_a_rank_that_it_does_not_know) {
   gate_fixture f;
   expect_equal(reason_of(f.offer(1, 9), 1), refusal_reason::bad_request);
