Name and choose only agents that were heard; tell strangers among renewers

Cause: after the loss of an owner together with the coordinator, the successor named the dead owner a renewer; the end of neither dead renewer could then be proved, and the keys stayed unserved. Change: renewers and new owners must have been heard within two renewal intervals, and a renewer that was withdrawn before another was named can't support it, so its word is not awaited. Adds the measurement of losses to the soak tool.

--- a/include/masticshunt/decisions/ownership/coordinator.h
+++ b/include/masticshunt/decisions/ownership/coordinator.h
@@ -95,6 +95,7 @@
   [[nodiscard]] bool silent(const agent_id& owner, time_point now) const;
   [[nodiscard]] bool suspect(const agent_id& owner, time_point now) const;
   [[nodiscard]] bool alive(const agent_id& id, time_point now) const;
+  [[nodiscard]] bool heard_lately(const agent_id& id, time_point now) const;
   [[nodiscard]] bool eligible(const agent_description& member, const group_intent& intent,
                               time_point now) const;
   [[nodiscard]] std::optional<time_point> withdrawn_right_end(const assignment_page& page,
--- a/include/masticshunt/decisions/ownership/page.h
+++ b/include/masticshunt/decisions/ownership/page.h
@@ -40,6 +40,13 @@
 /// Returns the renewer record with an appointment, or null.
 const renewer_record* find_appointment(const assignment_page& page, std::uint64_t appointment);
 
+/// Marks `record` withdrawn in a page with `sequence`, unless it is already.
+void withdraw(renewer_record& record, std::uint64_t sequence);
+
+/// Returns true if neither of two renewers can ever have supported the other, or counted on it:
+/// one was withdrawn before the other was named.
+bool are_strangers(const renewer_record& left, const renewer_record& right);
+
 /// Returns the member called `name`, or null.
 const agent_description* find_member(const assignment_page& page, std::string_view name);
 
--- a/include/masticshunt/decisions/ownership/types.h
+++ b/include/masticshunt/decisions/ownership/types.h
@@ -58,6 +58,7 @@
       false;  ///< Support is withdrawn; it is replaced once its grants are known ended.
   std::uint64_t appointment = 0;  ///< The page's sequence when it was named; unique in the page.
   bool alone = false;  ///< It may hold a page that names no other renewer; nobody supports it.
+  std::uint64_t withdrawn_at = 0;  ///< The page's sequence when it was withdrawn.
 
   bool operator==(const renewer_record&) const = default;
 };
--- a/src/decisions/ownership/agent_state.cpp
+++ b/src/decisions/ownership/agent_state.cpp
@@ -66,7 +66,8 @@
   const auto service = records.registry().service(name.service);
   const bool moves = service && service->isolation == configuration::isolation_policy::move;
   return {moves, [this](const agent_description& agent) {
-            return records.registry().drained(agent.id.name, agent.failure_domain);
+            return !settings.faults.drain_ignored &&
+                   records.registry().drained(agent.id.name, agent.failure_domain);
           }};
 }
 
--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -156,6 +156,12 @@
   return !ended_since(id) && reports_.contains(id) && !silent(id, now);
 }
 
+bool coordinator::heard_lately(const agent_id& id, time_point now) const {
+  if (id == self_.id) return true;
+  const auto report = reports_.find(id);
+  return report != reports_.end() && now - report->second.heard < 2 * timing_.renewal_interval;
+}
+
 bool coordinator::eligible(const agent_description& member, const group_intent& intent,
                            time_point now) const {
   if (!member.upstream || !alive(member.id, now)) return false;
@@ -178,7 +184,8 @@
       page.move_since > 0 && known >= std::max(page.move_since, rights.appointment());
   if (needs_all) return end;
   for (const auto& other : page.renewers) {
-    if (other.appointment == record.appointment || other.appointment == rights.appointment()) {
+    if (other.appointment == record.appointment || other.appointment == rights.appointment() ||
+        are_strangers(other, record)) {
       continue;
     }
     const auto word = support_words_.find({record.appointment, other.appointment});
@@ -202,7 +209,7 @@
   if (page.move_since > 0 && known >= std::max(page.move_since, rights.appointment())) return true;
   return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
     return other.appointment == record.appointment || other.appointment == rights.appointment() ||
-           ended_since(other.id) ||
+           ended_since(other.id) || are_strangers(other, record) ||
            now - rights.heard_renewer(other.appointment) <= timing_.renewer_silence;
   });
 }
@@ -308,7 +315,7 @@
     if (entry.owner.name.empty() || changes_.contains(entry.owner)) continue;
     if (quota.contains(entry.owner.name)) {
       owned[entry.owner.name].push_back(&entry);
-    } else {
+    } else if (alive(entry.owner, step.now)) {
       releases[entry.owner.name].push_back(entry.token);
     }
   }
@@ -386,6 +393,7 @@
                                    const renewer_record& record) const {
   return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
     return other.id == self_.id || other.appointment == record.appointment ||
+           are_strangers(other, record) ||
            support_words_.contains({record.appointment, other.appointment}) ||
            ended_since(other.id).has_value();
   });
@@ -402,7 +410,7 @@
                       timing_.renewer_silence;
     if (!lost && !leaving && !ended_since(record.id)) continue;
     if (!can_prove_end(page, record, rights, now)) continue;
-    record.withdrawn = true;
+    withdraw(record, next.sequence);
     changed = true;
   }
   const auto dropped = std::erase_if(next.renewers, [&](const renewer_record& record) {
@@ -423,7 +431,7 @@
     return record.id != self_.id && !record.withdrawn && alive(record.id, now);
   });
   if (successor == next.renewers.end()) return false;
-  next.renewers.front().withdrawn = true;
+  withdraw(next.renewers.front(), next.sequence);
   std::rotate(next.renewers.begin(), successor, std::next(successor));
   ++next.epoch;
   return true;
@@ -449,7 +457,7 @@
         next.renewers, [&](const auto& record) { return record.id.name == member.id.name; });
     const auto paused = appoint_after_.find(member.id.name);
     const bool too_soon = paused != appoint_after_.end() && now < paused->second;
-    if (is_named || leaving || too_soon || !alive(member.id, now)) continue;
+    if (is_named || leaving || too_soon || !heard_lately(member.id, now)) continue;
     if (best == nullptr || score(member) > score(*best)) best = &member;
   }
   if (best == nullptr) return false;
@@ -462,7 +470,7 @@
 bool coordinator::assign_ranges(assignment_page& next, const assignment_page& page,
                                 const renewer& rights, const group_intent& intent,
                                 time_point now) const {
-  const auto quota = quotas(next, intent, now);
+  auto quota = quotas(next, intent, now);
   std::map<std::string, double> counts;
   std::vector<range_assignment*> free;
   std::map<agent_id, bool> ended;
@@ -477,6 +485,9 @@
       counts[entry.owner.name] += 1;
     }
   }
+  std::erase_if(quota, [&](const auto& share) {
+    return !heard_lately(find_member(next, share.first)->id, now);
+  });
   if (free.empty() || quota.empty()) return false;
   const bool first_time = page.owner_changes == 0;
   if (first_time && now - members_changed_ < settle_time) return false;
@@ -514,7 +525,7 @@
   assignment_page next = page;
   ++next.sequence;
   ++next.epoch;
-  next.renewers.front().withdrawn |= can_prove_end(page, first, rights, now);
+  if (can_prove_end(page, first, rights, now)) withdraw(next.renewers.front(), next.sequence);
   const auto place =
       std::ranges::find(next.renewers, rights.appointment(), &renewer_record::appointment);
   std::rotate(next.renewers.begin(), place, std::next(place));
--- a/src/decisions/ownership/group_host.cpp
+++ b/src/decisions/ownership/group_host.cpp
@@ -119,7 +119,7 @@
   ++next.sequence;
   ++next.epoch;
   for (auto& record : next.renewers) {
-    if (record.id.name == self_.id.name) record.withdrawn = true;
+    if (record.id.name == self_.id.name) withdraw(record, next.sequence);
   }
   next.renewers.insert(next.renewers.begin(), {self_.id, self_.control, self_.failure_domain, false,
                                                next.sequence, next.renewers.empty()});
--- a/src/decisions/ownership/internal/json_codec.h
+++ b/src/decisions/ownership/internal/json_codec.h
@@ -75,7 +75,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(range_assignment, range, owner, token,
                                                 had_earlier_owner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(renewer_record, id, control, failure_domain,
-                                                withdrawn, appointment, alone)
+                                                withdrawn, appointment, alone, withdrawn_at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(assignment_page, service, group, version, epoch,
                                                 renewers, members, ranges, sequence, owner_changes,
                                                 move_since, schema_floor, write_id)
--- a/src/decisions/ownership/page.cpp
+++ b/src/decisions/ownership/page.cpp
@@ -65,10 +65,20 @@
   return found == page.renewers.end() ? nullptr : &*found;
 }
 
+void withdraw(renewer_record& record, std::uint64_t sequence) {
+  if (record.withdrawn) return;
+  record.withdrawn = true;
+  record.withdrawn_at = sequence;
+}
+
+bool are_strangers(const renewer_record& left, const renewer_record& right) {
+  return (left.withdrawn && left.withdrawn_at <= right.appointment) ||
+         (right.withdrawn && right.withdrawn_at <= left.appointment);
+}
+
 const agent_description* find_member(const assignment_page& page, std::string_view name) {
-  const auto found = std::ranges::find(page.members, name, [](const auto& member) {
-    return std::string_view(member.id.name);
-  });
+  const auto found = std::ranges::find(
+      page.members, name, [](const auto& member) { return std::string_view(member.id.name); });
   return found == page.members.end() ? nullptr : &*found;
 }
 
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -65,6 +65,17 @@
     }
     return all;
   }
+  /// The same for the keys that agents other than `victims` owned in `page`.
+  std::vector<duration> gaps_of_living(const std::vector<std::size_t>& victims,
+                                       const ownership::assignment_page& page) const {
+    auto all = gaps_;
+    for (std::size_t key = 0; key < hashes_.size(); ++key) {
+      const auto owner = fleet_.index_of(ownership::find_range(page, hashes_[key])->owner.name);
+      const bool lost = std::ranges::find(victims, *owner) != victims.end();
+      if (!lost && !served_now_[key]) all.push_back(fleet_.now - unserved_since_[key]);
+    }
+    return all;
+  }
   void forget_gaps() {
     gaps_.clear();
     owner_changes_ = 0;
--- /dev/null
+++ b/tests/soak/measure.h
@@ -0,0 +1,119 @@
+/// @file
+/// Measures what losses cost: unavailable time, owner changes and store calls.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "soak/judge.h"
+
+namespace masticshunt::testing {
+
+/// What the runs of one kind of loss cost.
+struct loss_measure {
+  std::string kind;
+  std::size_t runs = 0;
+  std::vector<duration> gaps;         ///< One for each sampled key that was interrupted.
+  std::uint64_t ranges_lost = 0;      ///< Ranges of the lost owners.
+  std::uint64_t ranges_changed = 0;   ///< Ranges that got another owner.
+  double store_calls_per_second = 0;  ///< Of the whole fleet after the loss.
+
+  [[nodiscard]] duration gap_at(double share) const {
+    if (gaps.empty()) return {};
+    auto sorted = gaps;
+    std::ranges::sort(sorted);
+    const auto place = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(place, sorted.size() - 1)];
+  }
+};
+
+/// A kind of loss: what is lost, and how long to watch.
+struct loss_kind {
+  std::string name;
+  std::function<std::vector<std::size_t>(fleet&)> victims;
+  duration watched = seconds{10};
+  bool store_down = false;
+};
+
+/// Returns the index of the renewer at `rank` (0: the coordinator).
+inline std::size_t renewer_at(fleet& agents, std::size_t rank) {
+  return *agents.index_of(agents.stored_page()->renewers.at(rank).id.name);
+}
+
+/// Returns an agent that renews nobody.
+inline std::size_t plain_owner(fleet& agents) {
+  const auto page = agents.stored_page();
+  for (std::size_t index = 0; index < agents.nodes.size(); ++index) {
+    const auto& one = agents.nodes[index];
+    if (ownership::find_renewer(*page, {one.name, one.incarnation}) == nullptr) return index;
+  }
+  return 0;
+}
+
+inline std::vector<loss_kind> loss_kinds() {
+  return {
+      {"owner", [](fleet& f) { return std::vector{plain_owner(f)}; }},
+      {"coordinator (an owner too)", [](fleet& f) { return std::vector{renewer_at(f, 0)}; }},
+      {"standby (an owner too)", [](fleet& f) { return std::vector{renewer_at(f, 1)}; }},
+      {"owner and coordinator",
+       [](fleet& f) {
+         return std::vector{plain_owner(f), renewer_at(f, 0)};
+       }},
+      {"coordinator and standby",
+       [](fleet& f) {
+         return std::vector{renewer_at(f, 0), renewer_at(f, 1)};
+       }},
+      {"failure domain of the coordinator",
+       [](fleet& f) {
+         std::vector<std::size_t> lost;
+         const auto domain = f.nodes[renewer_at(f, 0)].failure_domain;
+         for (std::size_t index = 0; index < f.nodes.size(); ++index) {
+           if (f.nodes[index].failure_domain == domain) lost.push_back(index);
+         }
+         return lost;
+       }},
+      {"coordinator, in a store outage of an hour",
+       [](fleet& f) { return std::vector{renewer_at(f, 0)}; }, seconds{3600}, true},
+  };
+}
+
+/// Runs one kind of loss for each seed.
+inline loss_measure measure(const loss_kind& kind, fleet_settings settings, std::size_t runs) {
+  loss_measure result;
+  result.kind = kind.name;
+  result.runs = runs;
+  for (std::size_t run = 1; run <= runs; ++run) {
+    settings.seed = run;
+    fleet agents(settings);
+    judge verdict(agents);
+    agents.start_all();
+    agents.run_for(seconds{6} + agents.draw_up_to(seconds{1}));
+    const auto before = *agents.stored_page();
+    const auto victims = kind.victims(agents);
+    agents.sky.store_down = kind.store_down;
+    verdict.forget_gaps();
+    std::uint64_t calls = 0;
+    for (const auto& one : agents.nodes) calls += one.store_calls_total;
+    for (const auto victim : victims) agents.crash(victim);
+    agents.run_for(kind.watched);
+    const auto after = *agents.stored_page();
+    for (std::size_t place = 0; place < before.ranges.size(); ++place) {
+      const auto owner = agents.index_of(before.ranges[place].owner.name);
+      const bool lost = std::ranges::find(victims, *owner) != victims.end();
+      result.ranges_lost += lost ? 1 : 0;
+      result.ranges_changed += before.ranges[place].token != after.ranges[place].token ? 1 : 0;
+    }
+    const auto gaps = kind.store_down ? verdict.gaps_of_living(victims, before) : verdict.gaps();
+    result.gaps.insert(result.gaps.end(), gaps.begin(), gaps.end());
+    std::uint64_t calls_after = 0;
+    for (const auto& one : agents.nodes) calls_after += one.store_calls_total;
+    result.store_calls_per_second += static_cast<double>(calls_after - calls) /
+                                     std::chrono::duration<double>(kind.watched).count() /
+                                     static_cast<double>(runs);
+  }
+  return result;
+}
+
+}  // namespace masticshunt::testing
