--- a/tests/platform/hostile_store_test.cpp
+++ b/tests/platform/hostile_store_test.cpp
@@ -1,56 +1,20 @@
 /// The store client against answers that no store should give.
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <random>
 
 #include "expect.h"
 #include "masticshunt/platform/store_client.h"
+#include "scripted_server.h"
 #include "store_fixture.h"
 
 using namespace masticshunt;
 using namespace masticshunt::platform;
-using boost::asio::ip::tcp;
+using masticshunt::platform::testing::scripted_server;
 using masticshunt::platform::testing::store_fixture;
 using masticshunt::testing::expect_equal;
 using masticshunt::testing::expect_true;
 
 namespace {
 
-/// Answers every connection with the same bytes and closes it.
-class scripted_store {
- public:
-  explicit scripted_store(boost::asio::io_context& context)
-      : acceptor_(context, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    accept();
-  }
-
-  [[nodiscard]] endpoint address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-
-  std::string answer;
-
- private:
-  void accept() {
-    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
-      if (error) return;
-      auto held = std::make_shared<tcp::socket>(std::move(socket));
-      auto request = std::make_shared<std::string>();
-      boost::asio::async_read_until(*held, boost::asio::dynamic_buffer(*request), "\r\n\r\n",
-                                    [this, held, request](const auto&, std::size_t) {
-                                      boost::system::error_code ignored;
-                                      boost::asio::write(*held, boost::asio::buffer(answer),
-                                                         ignored);
-                                      held->shutdown(tcp::socket::shutdown_both, ignored);
-                                    });
-      accept();
-    });
-  }
-
-  tcp::acceptor acceptor_;
-};
-
 /// A client of a scripted store.
 struct hostile_fixture {
   hostile_fixture() : store(context), client(context.get_executor(), settings(), 1) {}
@@ -70,7 +34,7 @@
   }
 
   boost::asio::io_context context;
-  scripted_store store;
+  scripted_server store;
   store_client client;
 };
 
