--- a/src/bench/internal/scenario.h
+++ b/src/bench/internal/scenario.h
@@ -18,8 +18,9 @@
 struct scenario_context {
   demo::deployment& target;
   const bench_options& options;
-  double capacity = 0;  ///< Requests a second that all upstreams together can run.
-  load_result quiet;    ///< Empty until the quiet scenario has run.
+  double capacity = 0;                ///< Requests a second that all upstreams together can run.
+  load_result quiet;                  ///< Empty until the quiet scenario has run.
+  mutable std::uint64_t settles = 0;  ///< Names the short loads between scenarios.
 };
 
 /// What a scenario found.
