--- a/src/main.cpp
+++ b/src/main.cpp
@@ -134,7 +134,7 @@
             "  masticshunt bench [options]\n\nOptions:\n"
             "  --deployment=NAME  imhof, llyfrnod or both [default: imhof].\n"
             "  --scenario=NAME    One scenario only.\n"
-            "  --seconds=N        Load of one scenario [default: 4].\n"
+            "  --seconds=N        Load of one scenario [default: 3].\n"
             "  --seed=N           Drives the load [default: 1].\n"
             "  --results=DIR      Where results and plots go.\n"
             "  --strict           A missed target fails the run as well.\n",
