Tell callers about the identity, not the last attempt; soak the request chain too

Cause: a repeat, or a POST not declared a first attempt, that is refused for overload was told "not run" although an earlier attempt of the same identity may have run elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 soak: build
 	$(BUILD)/soak --seed $(SEED) --steps $(STEPS)
+	$(BUILD)/policy_bench --seed $(SEED) --chain $(STEPS)
 
 capacity: build
 	$(BUILD)/capacity
--- a/src/agent/internal/session.cpp
+++ b/src/agent/internal/session.cpp
@@ -213,13 +213,7 @@
         from_ == arrival::from_caller && !side.body_taken && !end.never_sent_again;
     const bool again = may_retry && co_await wait_before_retry(current, end);
     if (!again) {
-      if (end.why.what == outcome::not_run &&
-          current.history.told(outcome::not_run) != outcome::not_run) {
-        end.why.message = "an earlier attempt may have run; the last one was refused: " +
-                          std::string(to_string(end.why.reason));
-        end.why.reason = refusal_reason::none;
-      }
-      end.why.what = current.history.told(end.why.what);
+      settle_refusal(current, end.why);
       count(end.why.what);
       if (end.why.owner.empty()) end.why.owner = owner_hint(current);
       co_return co_await refuse(end.why, current.request_id,
@@ -228,6 +222,19 @@
   }
 }
 
+void session::settle_refusal(const current_request& current, refusal& why) const {
+  if (why.what != outcome::not_run) return;
+  if (current.history.told(outcome::not_run) != outcome::not_run) {
+    why.message = "an earlier attempt may have run; the last one was refused: " +
+                  std::string(to_string(why.reason));
+    why.reason = refusal_reason::none;
+    why.what = outcome::may_have_run;
+  } else if (from_ == arrival::from_caller) {
+    // Between agents "not run" speaks of the attempt; to callers it speaks of the identity.
+    why.what = requests::refusal_outcome(current.descriptor);
+  }
+}
+
 asio::awaitable<bool> session::wait_before_retry(current_request& current, const attempt_end& end) {
   const bool owner_changes =
       end.why.what == outcome::not_run &&
--- a/src/agent/internal/session.h
+++ b/src/agent/internal/session.h
@@ -93,6 +93,8 @@
   exchange_plan plan_for_agent(const current_request& current, const caller_side& side,
                                const ownership::agent_description& owner) const;
   attempt_end judge(const current_request& current, const exchange_end& end);
+  /// Makes of the last attempt's refusal what may truthfully be told.
+  void settle_refusal(const current_request& current, caller::refusal& why) const;
   endpoint owner_hint(const current_request& current) const;
   std::string new_request_id();
   void count(requests::outcome what);
--- a/src/agent/internal/shared_tables.cpp
+++ b/src/agent/internal/shared_tables.cpp
@@ -238,15 +238,6 @@
   return health_.set_aside(now) == 0;
 }
 
-void shared_tables::abandoned(requests::attempt_id attempt) {
-  requests::gate_actions steps;
-  {
-    const std::scoped_lock guard(gate_lock_);
-    steps = gate_.abandoned(attempt, boot_now());
-  }
-  perform(steps);
-}
-
 bool shared_tables::still_owned(const local_permit& permit) {
   const std::scoped_lock guard(core_lock_);
   const auto ticket = core_.admit(permit.request.service, permit.request.hash, boot_now());
--- a/src/agent/internal/shared_tables.h
+++ b/src/agent/internal/shared_tables.h
@@ -109,8 +109,6 @@
   /// Returns false while the upstream is set aside for what its requests came to, whatever it
   /// announces.
   [[nodiscard]] bool upstream_trusted(time_point now) const;
-  /// Reports that the caller of `permit`'s request has left while it waited at the gate.
-  void abandoned(requests::attempt_id attempt);
   /// Nothing new starts on `range`; reports `range_quiet` once nothing runs there.
   void finish_range(const hash_range& range);
   /// Lets time act at the gate.
