Wait until the cut upload has reached its upstream before judging it

Cause: the test could end before the upstream had seen the cut body, and so could not fail. Change: it waits for the upstream's count of cut bodies.

--- a/tests/blackbox/request_path_test.cpp
+++ b/tests/blackbox/request_path_test.cpp
@@ -135,10 +135,13 @@
                              std::string(200'000, 'x');
     boost::asio::write(caller.socket(), boost::asio::buffer(part));
   }
-  // A later request of the same key is answered only after the cut one was dealt with or refused.
+  const auto owner = here.owner_of("scan-1");
+  expect_true(holds_within(small_deployment::start_limit, [&] {
+    return here->nodes()[owner].upstream_process->counts().cut_bodies == 1;
+  }));
   expect_true(small_deployment::is_served(here.entry(0), "scan-1"));
-  const auto records = here->nodes()[here.owner_of("scan-1")].upstream_process->records();
+  const auto records = here->nodes()[owner].upstream_process->records();
   expect_equal(
       std::ranges::count_if(records, [](const run_record& run) { return run.method == "PUT"; }), 0);
-  expect_equal(here.runs_of(here.owner_of("scan-1"), "scan-1"), runs + 1);
+  expect_equal(here.runs_of(owner, "scan-1"), runs + 1);
 }
