Prefer a freshly heard member as renewer instead of excluding others

Change: freshness counts first in the choice, so that a member is still appointed where nobody was heard lately.

--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -438,7 +438,8 @@
     const bool shares_domain = std::ranges::any_of(next.renewers, [&](const auto& record) {
       return !record.withdrawn && record.failure_domain == member.failure_domain;
     });
-    return (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
+    const bool is_fresh = now - last_heard(member.id) < timing_.renewal_interval * 7 / 5;
+    return (is_fresh ? 8 : 0) + (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
            (owns_any(next, member.id) ? 0 : 1);
   };
   const agent_description* best = nullptr;
@@ -449,8 +450,7 @@
         next.renewers, [&](const auto& record) { return record.id.name == member.id.name; });
     const auto paused = appoint_after_.find(member.id.name);
     const bool too_soon = paused != appoint_after_.end() && now < paused->second;
-    const bool is_fresh = now - last_heard(member.id) < timing_.renewal_interval * 7 / 5;
-    if (is_named || leaving || too_soon || !is_fresh || !alive(member.id, now)) continue;
+    if (is_named || leaving || too_soon || !alive(member.id, now)) continue;
     if (best == nullptr || score(member) > score(*best)) best = &member;
   }
   if (best == nullptr) return false;
