--- a/src/decisions/ownership/coordinator.cpp
+++ b/src/decisions/ownership/coordinator.cpp
@@ -446,7 +446,8 @@
     const bool shares_domain = std::ranges::any_of(next.renewers, [&](const auto& record) {
       return !record.withdrawn && record.failure_domain == member.failure_domain;
     });
-    return (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
+    const bool is_fresh = now - last_heard(member.id) < timing_.renewal_interval * 7 / 5;
+    return (is_fresh ? 8 : 0) + (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
            (owns_any(next, member.id) ? 0 : 1);
   };
   const agent_description* best = nullptr;
