--- a/include/masticshunt/decisions/ownership/record_feed.h
+++ b/include/masticshunt/decisions/ownership/record_feed.h
@@ -23,8 +23,8 @@
                                   invariant_counters& invariants, step& step);
   /// Takes in everything that exists at `revision`: older records that are not in it are deleted.
   std::vector<stored_record> take_everything(const std::vector<stored_record>& records,
-                                             std::uint64_t revision,
-                                             invariant_counters& invariants, step& step);
+                                             std::uint64_t revision, invariant_counters& invariants,
+                                             step& step);
   /// Everything up to `revision` has been taken in.
   void known_up_to(std::uint64_t revision);
 
--- a/src/decisions/ownership/agent_state.cpp
+++ b/src/decisions/ownership/agent_state.cpp
@@ -269,7 +269,9 @@
   const auto& page = host.page();
   if (page.version == before.version) return;
   std::vector<spread_peer> peers;
-  for (const auto& member : page.members) peers.push_back({member.control, member.region});
+  std::ranges::transform(page.members, std::back_inserter(peers), [](const auto& member) {
+    return spread_peer{member.control, member.region};
+  });
   objects.set_peers(page_object_name(host.name()), std::move(peers));
   if (own_group == host.name()) {
     leases.page_adopted(page, report(), step);
