--- a/include/masticshunt/decisions/ownership/spread.h
+++ b/include/masticshunt/decisions/ownership/spread.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "masticshunt/base/identity.h"
@@ -133,7 +134,7 @@
 
   struct held_object {
     versioned_object object;
-    std::deque<value_patch> patches;  ///< The way here from earlier versions, oldest first.
+    std::vector<value_patch> patches;  ///< The way here from earlier versions, oldest first.
   };
   struct neighbour {
     bool chosen = false;  ///< By this agent; otherwise the other side chose.
@@ -152,10 +153,7 @@
     std::string received;  ///< The first bytes of the value of `received_version`.
     std::uint64_t received_version = 0;
   };
-  struct queued_pull {
-    endpoint from;
-    pull_item item;
-  };
+  using pull_name = std::pair<endpoint, object_key>;  ///< Who asks for what.
   struct tombstone {
     time_point since;
     object_key key = 0;
@@ -172,9 +170,9 @@
   void take(const endpoint& from, const spread_digest& what, time_point now, spread_output& out);
 
   [[nodiscard]] std::uint64_t version_of(object_key key) const;
-  bool adopt(versioned_object object, std::deque<value_patch> patches, time_point now);
-  std::deque<value_patch> patches_towards(const held_object& held,
-                                          const versioned_object& next) const;
+  bool adopt(versioned_object object, std::vector<value_patch> patches, time_point now);
+  std::vector<value_patch> patches_towards(const held_object& held,
+                                           const versioned_object& next) const;
   void count_in_digest(const versioned_object& object);
   void purge_tombstones(time_point now);
 
@@ -220,7 +218,8 @@
   std::map<object_key, wanted_object> wanted_;
   std::deque<object_key> to_ask_;
   std::map<object_key, time_point> in_flight_;
-  std::deque<queued_pull> to_serve_;
+  std::deque<pull_name> to_serve_;
+  std::map<pull_name, pull_item> pulls_to_serve_;  ///< The newest pull of each name in the queue.
   spread_counters counters_;
 };
 
--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -34,6 +34,21 @@
   text += "masticshunt_" + name + labels + " " + std::to_string(value) + "\n";
 }
 
+void add_latencies(std::string& text, const std::string& name,
+                   const support::latency_metric& latencies) {
+  text += "# TYPE masticshunt_" + name + " histogram\n";
+  const auto bounds = latencies.bounds();
+  const auto counts = latencies.cumulative();
+  for (std::size_t index = 0; index < std::min(bounds.size(), counts.size()); ++index) {
+    add_counter(text, name + "_bucket", "{le=\"" + std::to_string(bounds[index]) + "\"}",
+                counts[index]);
+  }
+  add_counter(text, name + "_bucket", "{le=\"+Inf\"}", latencies.count());
+  add_counter(text, name + "_count", "", latencies.count());
+  const double sum_s = std::chrono::duration<double>(latencies.sum()).count();
+  text += "masticshunt_" + name + "_sum " + std::to_string(sum_s) + "\n";
+}
+
 }  // namespace
 
 void agent::implementation::post_event(ownership::event what) {
@@ -119,6 +134,8 @@
       announced_.reset();
       handle(ownership::upstream_lost{"it takes no more work"});
     }
+  } else if (!tables_->upstream_trusted(boot_now())) {
+    announced_.reset();
   } else if (announced_ != announcement->upstream || !tables_->has_upstream()) {
     announced_ = announcement->upstream;
     tables_->upstream_announced(announcement->upstream);
@@ -156,7 +173,7 @@
                           {"control", self_.control},
                           {"config_revision", tables_->config_revision()},
                           {"accepts_callers", tables_->accepts_callers()},
-                          {"stopping", stop_asked_.load()},
+                          {"stopping", stage_ != life_stage::serving},
                           {"running", tables_->running()}};
   if (announced_) {
     state["upstream"] = {{"service", announced_->service}, {"address", announced_->address}};
@@ -171,8 +188,10 @@
   add_counter(text, "requests_total", "{outcome=\"not-run\"}", counts.not_run);
   add_counter(text, "requests_total", "{outcome=\"may-have-run\"}", counts.may_have_run);
   add_counter(text, "requests_total", "{outcome=\"failed\"}", counts.failed);
+  add_latencies(text, "request_seconds", tables_->served_latency);
   add_counter(text, "forwarded_total", "", counts.forwarded);
   add_counter(text, "retries_total", "", counts.retries);
+  add_counter(text, "redirects_total", "", counts.redirects);
   const auto control = control_->counts();
   add_counter(text, "control_messages_total", "{direction=\"sent\"}", control.messages_sent);
   add_counter(text, "control_messages_total", "{direction=\"received\"}",
--- a/src/decisions/requests/gate_state.cpp
+++ b/src/decisions/requests/gate_state.cpp
@@ -175,6 +175,10 @@
     refuse_waiting(place, refusal_reason::overloaded, actions);
     return std::nullopt;
   }
+  if (key.stalled && key.running == 0 && stalled_keys_hold_their_share()) {
+    refuse_waiting(place, refusal_reason::overloaded, actions);
+    return std::nullopt;
+  }
   if (key.running >= allowance(key)) {
     if (key.parked >= std::max(1U, rank_capacity / parked_share_per_key)) {
       refuse_waiting(place, refusal_reason::overloaded, actions);
@@ -234,6 +238,7 @@
     while (place != no_index && now - attempts.at(place).started_at > bound) {
       attempt_entry& entry = attempts.at(place);
       entry.overdue = true;
+      ++overdue;
       key_node& key = keys.at(entry.key_node);
       ++key.overdue;
       key.stalled = true;
@@ -252,7 +257,10 @@
   --running;
   key_node& key = keys.at(entry.key_node);
   --key.running;
-  if (entry.overdue) --key.overdue;
+  if (entry.overdue) {
+    --key.overdue;
+    --overdue;
+  }
   const bool quick = !entry.overdue && result == attempt_result::answered;
   if (quick && key.overdue == 0) key.stalled = false;
   unpark(entry.key_node);
@@ -262,7 +270,8 @@
 
 void gate::state::learn(const attempt_entry& entry, attempt_result result, time_point now) {
   const duration service = now - entry.started_at;
-  limit.observe({entry.rank, service, running, result});
+  const bool few_stall = overdue > 0 && 2 * overdue < running;
+  if (!few_stall) limit.observe({entry.rank, service, running, result});
   if (result == attempt_result::answered) ranks[entry.rank].service.observe(service);
 }
 
@@ -300,8 +309,9 @@
   for (pool_index place = attempts.first_to_expire();
        place != no_index && attempts.at(place).expires_at <= now;
        place = attempts.first_to_expire()) {
-    const attempt_entry& entry = attempts.at(place);
+    attempt_entry& entry = attempts.at(place);
     if (entry.place == attempt_place::running) {
+      entry.cancelled = true;
       actions.emplace_back(cancel_attempt{entry.attempt});
       ++counts.cancelled;
       attempts.set_expiry(place, time_point::max());
@@ -327,6 +337,10 @@
   return key.stalled || key.overdue > 0 ? 1 : std::max(1U, share);
 }
 
+bool gate::state::stalled_keys_hold_their_share() const {
+  return !settings.faults.ignore_key_bound && overdue >= limit.value() * settings.stalled_share;
+}
+
 duration gate::state::overdue_after(std::size_t rank) const {
   const duration usual = ranks[rank].service.median();
   if (usual == duration{}) return duration::max();
@@ -376,6 +390,11 @@
     ++keys.at(attempts.at(place).key_node).running;
     insert_running(place);
   });
+  const bool same_ranks = std::ranges::equal(settings.ranks, other.settings.ranks, {},
+                                             &rank_policy::name, &rank_policy::name);
+  if (same_ranks && settings.slots == other.settings.slots &&
+      settings.algorithm == other.settings.algorithm)
+    limit = other.limit;
   counts = other.counts;
 }
 
--- a/src/decisions/requests/internal/gate_state.h
+++ b/src/decisions/requests/internal/gate_state.h
@@ -53,6 +53,7 @@
   concurrency_limit limit;
   gate_counts counts;
   std::uint32_t running = 0;
+  std::uint32_t overdue = 0;  ///< Of these, attempts that run much longer than usual.
   std::uint32_t rank_capacity;
 
  private:
@@ -60,6 +61,7 @@
   [[nodiscard]] bool has_lasting_backlog(std::size_t rank, time_point now) const;
   [[nodiscard]] bool make_room(const attempt_entry& entry, time_point now, gate_actions& actions);
   [[nodiscard]] std::uint32_t allowance(const key_node& key) const;
+  [[nodiscard]] bool stalled_keys_hold_their_share() const;
   [[nodiscard]] duration overdue_after(std::size_t rank) const;
   [[nodiscard]] time_point waits_until(const attempt_entry& entry) const;
   [[nodiscard]] std::optional<pool_index> take(std::size_t rank, time_point now,
@@ -76,6 +78,8 @@
   void start(pool_index place, time_point now, gate_actions& actions);
   void insert_running(pool_index place);
   void mark_overdue(time_point now);
+  /// Learns from the end of an attempt. While a few attempts stall, the limit learns nothing: they
+  /// hold slots without telling how many there are.
   void learn(const attempt_entry& entry, attempt_result result, time_point now);
 };
 
--- a/tests/decisions/requests/gate_test.cpp
+++ b/tests/decisions/requests/gate_test.cpp
@@ -127,6 +127,13 @@
   expect_equal(count_of<cancel_attempt>(f.subject.abandoned(1, at({}))), 1U);
 }
 
+Test(gate, does_not_cancel_an_attempt_twice) {
+  gate_fixture f;
+  f.offer(1);
+  f.subject.tick(at(seconds{10}));
+  expect_equal(count_of<cancel_attempt>(f.subject.abandoned(1, at(seconds{11}))), 0U);
+}
+
 Test(gate, forgets_a_waiting_attempt_whose_caller_left) {
   gate_fixture f;
   f.offer(5);
@@ -178,6 +185,22 @@
   expect_true(starts(actions, 1'001));
 }
 
+Test(gate, keeps_slots_free_of_known_stalled_keys) {
+  gate_fixture f;
+  const duration now = f.teach(milliseconds{10});
+  const auto offer_key = [&](attempt_id attempt, key_hash key, duration when) {
+    request_descriptor request = lookup(attempt);
+    request.hash = key;
+    return f.subject.offer(request, at(when));
+  };
+  for (key_hash key = 1; key <= 3; ++key) offer_key(1'000 + key, key, now);
+  f.subject.tick(at(now + milliseconds{200}));
+  f.subject.finished(1'003, attempt_result::timed_out, at(now + milliseconds{200}));
+  const duration later = now + milliseconds{210};
+  expect_equal(reason_of(offer_key(1'004, 3, later), 1'004), refusal_reason::overloaded);
+  expect_true(starts(offer_key(1'005, 9, later), 1'005));
+}
+
 Test(gate, refuses_a_rank_that_it_does_not_know) {
   gate_fixture f;
   expect_equal(reason_of(f.offer(1, 9), 1), refusal_reason::bad_request);
@@ -195,6 +218,21 @@
   expect_equal(f.subject.running(), 3U);
 }
 
+Test(gate, keeps_its_learned_limit_when_only_a_floor_changes) {
+  gate_fixture f;
+  f.settings.algorithm = limit_algorithm::gradient;
+  f.subject.reconfigure(f.settings, at({}));
+  for (int i = 0; i < 400; ++i) {
+    f.offer(1);
+    f.subject.finished(f.next - 1, attempt_result::timed_out, at({}));
+  }
+  const double learned = f.subject.limit();
+  f.settings.ranks[0].floor = 0.4;
+  f.subject.reconfigure(f.settings, at({}));
+  expect_true(learned < 4);
+  expect_equal(f.subject.limit(), learned);
+}
+
 Test(gate, dumps_its_ranks) {
   gate_fixture f;
   f.offer(5);
