--- a/src/agent/internal/agent_core_side.cpp
+++ b/src/agent/internal/agent_core_side.cpp
@@ -148,7 +148,13 @@
   const std::string_view target(request.target().data(), request.target().size());
   if (target == "/log-level") {
     if (request.method() != http::verb::post) return method_not_allowed(request);
-    spdlog::set_level(spdlog::level::from_str(request.body()));
+    const auto level = spdlog::level::from_str(request.body());
+    if (level == spdlog::level::off && request.body() != "off") {
+      return make_response(
+          request, http::status::bad_request, "application/json",
+          R"({"message":"no such log level","remedy":"use trace, debug, info, warning, error or off"})");
+    }
+    spdlog::set_level(level);
     return make_response(request, http::status::ok, "application/json", "{}");
   }
   if (request.method() != http::verb::get) return method_not_allowed(request);
--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -109,9 +109,11 @@
 }
 
 /// Returns when to give up waiting for the answer's first byte. An idle connection may have gone
-/// silent, so on one an idempotent request leaves time to be sent again on a fresh connection.
+/// silent, so on one an idempotent request leaves time to be sent again on a fresh connection. Not
+/// so between agents, where the request may wait long at the owner's gate: there TCP_USER_TIMEOUT
+/// ends a connection that nothing acknowledges.
 time_point first_byte_deadline(const exchange_plan& plan, const http_connection& connection) {
-  if (!connection.reused || !plan.idempotent) return plan.deadline;
+  if (!connection.reused || !plan.idempotent || !plan.from_upstream) return plan.deadline;
   const auto now = boot_now();
   return now + (plan.deadline - now) / 3;
 }
--- a/src/decisions/ownership/agent_core.cpp
+++ b/src/decisions/ownership/agent_core.cpp
@@ -22,15 +22,9 @@
 }
 
 std::optional<route_answer> agent_core::route(std::string_view service, key_hash hash) const {
-  for (const auto& [name, group] : state_->groups) {
-    if (name.service != service) continue;
-    const auto* range = find_range(group.page(), hash);
-    if (range == nullptr) continue;
-    const auto* member = find_member(group.page(), range->owner.name);
-    if (member == nullptr || member->id != range->owner) return std::nullopt;
-    return route_answer{*member, range->token, member->id == state_->self.id};
-  }
-  return std::nullopt;
+  const auto entry = state_->routes.find(service, hash);
+  if (!entry) return std::nullopt;
+  return route_answer{*entry->owner, entry->token, entry->owner->id == state_->self.id};
 }
 
 std::optional<admission_ticket> agent_core::admit(std::string_view service, key_hash hash,
--- a/src/decisions/ownership/agent_state.cpp
+++ b/src/decisions/ownership/agent_state.cpp
@@ -268,6 +268,7 @@
 void agent_core::state::page_changed(group_host& host, const assignment_page& before, step& step) {
   const auto& page = host.page();
   if (page.version == before.version) return;
+  routes.apply(page);
   std::vector<spread_peer> peers;
   std::ranges::transform(page.members, std::back_inserter(peers), [](const auto& member) {
     return spread_peer{member.control, member.region};
--- a/src/decisions/ownership/internal/agent_state.h
+++ b/src/decisions/ownership/internal/agent_state.h
@@ -12,6 +12,7 @@
 #include "masticshunt/decisions/ownership/owner.h"
 #include "masticshunt/decisions/ownership/page.h"
 #include "masticshunt/decisions/ownership/record_feed.h"
+#include "masticshunt/decisions/ownership/routing_table.h"
 #include "masticshunt/decisions/ownership/spread.h"
 #include "masticshunt/decisions/ownership/step.h"
 
@@ -100,6 +101,7 @@
   core_settings settings;
   agent_description self;
   std::map<group_name, group_host> groups;
+  routing_table routes;  ///< Of all pages in `groups`, for lookups by requests.
   std::optional<group_name> own_group;
   record_feed records;
   spread objects;  ///< Pages and records as they spread among agents.
--- a/src/decisions/requests/retry.cpp
+++ b/src/decisions/requests/retry.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-/// Returns true if another attempt after `reason` can end differently.
+/// Returns true if another attempt after `reason` can end differently. An overloaded owner is the
+/// only one, and its gate has let the request wait already: trying again adds to the overload.
 bool may_help(refusal_reason reason) {
   switch (reason) {
     case refusal_reason::none:
     case refusal_reason::no_owner:
     case refusal_reason::not_owner:
-    case refusal_reason::overloaded:
     case refusal_reason::draining:
     case refusal_reason::upstream_shed:
     case refusal_reason::fenced:
--- a/src/demo/deployment.cpp
+++ b/src/demo/deployment.cpp
@@ -29,6 +29,8 @@
     for (auto& thread : threads) thread.join();
     store.reset();
   }
+  implementation(const implementation&) = delete;
+  implementation& operator=(const implementation&) = delete;
 
   bool start(failure& reason) {
     store = std::make_unique<platform::store_stand_in>(context.get_executor());
