Stream bodies through reused chunks; split the coordinator's page building; one reader of run lengths

Change: a worker's pool keeps chunks; the next page is built in coordinator_pages.cpp; read_run_length. One watchdog for the caller's socket an exchange in place of one a write.

--- a/src/agent/internal/connection_pool.cpp
+++ b/src/agent/internal/connection_pool.cpp
@@ -93,6 +93,17 @@
   co_return connection;
 }
 
+std::unique_ptr<body_chunk> connection_pool::take_chunk() {
+  if (chunks_.empty()) return std::make_unique_for_overwrite<body_chunk>();
+  auto chunk = std::move(chunks_.back());
+  chunks_.pop_back();
+  return chunk;
+}
+
+void connection_pool::give_chunk(std::unique_ptr<body_chunk> chunk) {
+  if (chunks_.size() < settings_.idle_chunks_max) chunks_.push_back(std::move(chunk));
+}
+
 void connection_pool::release(std::unique_ptr<http_connection> connection) {
   auto& connections = idle_[connection->peer];
   connection->last_used = boot_now();
--- a/src/agent/internal/connection_pool.h
+++ b/src/agent/internal/connection_pool.h
@@ -2,6 +2,7 @@
 /// Idle HTTP connections of one worker to upstreams and to other agents.
 #pragma once
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "masticshunt/base/identity.h"
 #include "masticshunt/base/time.h"
@@ -30,12 +32,16 @@
 /// Limits of a pool.
 struct connection_pool_settings {
   std::size_t idle_per_peer_max = 32;
+  std::size_t idle_chunks_max = 64;
   duration idle_age_max = std::chrono::seconds{20};
   std::chrono::milliseconds connect_timeout{500};
   std::chrono::milliseconds tcp_user_timeout{1'500};
 };
 
-/// Keeps idle connections by peer.
+/// A block of memory through which bodies are streamed.
+using body_chunk = std::array<char, 64 * 1024>;
+
+/// Keeps idle connections by peer, and idle chunks for bodies.
 ///
 /// Thread safety: none; every worker has its own pool and uses it on its own thread.
 class connection_pool {
@@ -50,6 +56,11 @@
   /// Takes back a connection whose exchange ended cleanly.
   void release(std::unique_ptr<http_connection> connection);
 
+  /// Returns a chunk whose content is undefined.
+  std::unique_ptr<body_chunk> take_chunk();
+  /// Takes back a chunk.
+  void give_chunk(std::unique_ptr<body_chunk> chunk);
+
   /// Closes the idle connections to `peer`: one of them broke, the others may be as dead.
   void drop_idle(const endpoint& peer) { idle_.erase(peer); }
 
@@ -63,6 +74,7 @@
   boost::asio::io_context& context_;
   connection_pool_settings settings_;
   std::unordered_map<endpoint, std::deque<std::unique_ptr<http_connection>>> idle_;
+  std::vector<std::unique_ptr<body_chunk>> chunks_;
 };
 
 /// Returns the TCP endpoint of "ip:port", or nothing if the text is not one.
--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -23,7 +23,6 @@
 namespace {
 
 constexpr auto awaitable_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr std::uint32_t header_bytes_max = 64 * 1024;
 constexpr std::size_t refusal_bytes_max = 16 * 1024;
 constexpr std::chrono::seconds body_progress_timeout{30};
@@ -139,23 +138,26 @@
 }  // namespace
 
 struct http_exchange::progress {
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-member-init): the chunk is filled before use.
-  explicit progress(const asio::any_io_executor& executor) : watchdog(executor) {}
+  progress(const asio::any_io_executor& executor, std::unique_ptr<body_chunk> taken)
+      : watchdog(executor), caller_watchdog(executor), chunk_holder(std::move(taken)) {}
 
   std::unique_ptr<http_connection> connection;
   socket_watchdog watchdog;
+  socket_watchdog caller_watchdog;
   std::optional<response_parser> answer;
   exchange_end end;
   bool caller_left = false;
   bool body_withheld = false;
-  std::array<char, chunk_bytes> chunk;
+  std::unique_ptr<body_chunk> chunk_holder;  ///< Given back to the pool when the exchange ends.
+  body_chunk& chunk = *chunk_holder;
 };
 
 asio::awaitable<exchange_end> http_exchange::run(exchange_plan& plan, caller_side& caller) {
-  auto now = std::make_unique<progress>(executor_);
+  auto now = std::make_unique<progress>(executor_, pool_.take_chunk());
   now->connection = co_await pool_.acquire(plan.target, false);
   if (!now->connection) {
     now->end.result = exchange_result::not_connected;
+    pool_.give_chunk(std::move(now->chunk_holder));
     co_return std::move(now->end);
   }
   auto& socket = now->connection->socket;
@@ -196,6 +198,7 @@
   const bool clean = answered && sent && now->answer->is_done() && now->answer->keep_alive() &&
                      now->connection->socket.is_open();
   if (clean) pool_.release(std::move(now->connection));
+  pool_.give_chunk(std::move(now->chunk_holder));
   co_return std::move(now->end);
 }
 
@@ -328,8 +331,7 @@
     answer.body().more = more;
     if (filled == 0 && more && caller.answer_begun) continue;
     caller.answer_begun = true;
-    socket_watchdog caller_watchdog(executor_);
-    caller_watchdog.arm(caller.socket, boot_now() + body_progress_timeout);
+    now.caller_watchdog.arm(caller.socket, boot_now() + body_progress_timeout);
     auto [error, written] = co_await http::async_write(caller.socket, serializer, awaitable_result);
     if (error && !is_need_buffer(error)) {
       end.result = exchange_result::caller_left;
--- /dev/null
+++ b/src/decisions/ownership/coordinator_pages.cpp
@@ -0,0 +1,214 @@
+// The next page that a coordinator wants to write: members, renewers, owners, and take-over.
+#include <algorithm>
+#include <ranges>
+
+#include "masticshunt/decisions/ownership/coordinator.h"
+#include "masticshunt/decisions/ownership/page.h"
+
+namespace masticshunt::ownership {
+namespace {
+
+constexpr std::size_t renewers_wanted = 3;
+constexpr std::size_t renewers_most = 6;
+constexpr duration settle_time = std::chrono::milliseconds{300};
+constexpr duration forget_member_after = std::chrono::seconds{10};
+
+}  // namespace
+
+std::optional<assignment_page> coordinator::next_page(const assignment_page& page,
+                                                      const renewer& rights,
+                                                      const group_intent& intent,
+                                                      time_point now) const {
+  if (!is_coordinator(page, self_.id)) return std::nullopt;
+  assignment_page next = page;
+  ++next.sequence;
+  bool changed = update_members(next, now);
+  changed |= update_renewers(next, page, rights, now);
+  changed |= assign_ranges(next, page, rights, intent, now);
+  if (intent.move_when_isolated != (page.move_since > 0)) {
+    next.move_since = intent.move_when_isolated ? next.sequence : 0;
+    changed = true;
+  }
+  if (!changed) return std::nullopt;
+  return next;
+}
+
+bool coordinator::update_members(assignment_page& next, time_point now) const {
+  bool changed = false;
+  for (const auto& [name, join] : joins_) {
+    if (ended_since(join.id) || silent(join.id, now)) continue;
+    const auto report = reports_.find(join.id);
+    if (report != reports_.end() && report->second.leaving) continue;
+    const auto member =
+        std::ranges::find(next.members, name, [](const auto& entry) { return entry.id.name; });
+    if (member == next.members.end()) {
+      next.members.push_back(join);
+      changed = true;
+    } else if (member->id.incarnation <= join.id.incarnation && *member != join) {
+      *member = join;
+      changed = true;
+    }
+  }
+  const auto is_gone = [&](const agent_description& member) {
+    if (member.id == self_.id || owns_any(next, member.id)) return false;
+    const auto report = reports_.find(member.id);
+    const bool left = report != reports_.end() && report->second.leaving;
+    return left || now - last_heard(member.id) > forget_member_after;
+  };
+  const auto erased = std::erase_if(next.members, is_gone);
+  const auto floor_of = [](const agent_description& member) { return member.schema_version_max; };
+  if (!next.members.empty()) {
+    const auto floor = std::ranges::min(next.members | std::views::transform(floor_of));
+    changed |= floor != next.schema_floor;
+    next.schema_floor = floor;
+  }
+  return changed || erased > 0;
+}
+
+bool coordinator::withdrawal_known(const assignment_page& page,
+                                   const renewer_record& record) const {
+  return std::ranges::all_of(page.renewers, [&](const renewer_record& other) {
+    return other.id == self_.id || other.appointment == record.appointment ||
+           are_strangers(other, record) ||
+           support_words_.contains({record.appointment, other.appointment}) ||
+           ended_since(other.id).has_value();
+  });
+}
+
+bool coordinator::update_renewers(assignment_page& next, const assignment_page& page,
+                                  const renewer& rights, time_point now) const {
+  bool changed = false;
+  for (auto& record : next.renewers) {
+    if (record.withdrawn || record.id == self_.id) continue;
+    const auto report = reports_.find(record.id);
+    const bool leaving = report != reports_.end() && report->second.leaving;
+    const bool lost = now - std::max(rights.heard_renewer(record.appointment), tenure_since_) >
+                      timing_.renewer_silence;
+    if (!lost && !leaving && !ended_since(record.id)) continue;
+    if (!can_prove_end(page, record, rights, now)) continue;
+    withdraw(record, next.sequence);
+    changed = true;
+  }
+  const auto dropped = std::erase_if(next.renewers, [&](const renewer_record& record) {
+    const auto* known = find_appointment(page, record.appointment);
+    return record.id != self_.id && known != nullptr && known->withdrawn &&
+           renewer_ended(page, *known, rights, now) && withdrawal_known(page, *known);
+  });
+  const bool is_alone = next.renewers.size() == 1;
+  auto& own = next.renewers.front();
+  changed |= own.alone != is_alone && page.renewers.size() == next.renewers.size();
+  if (page.renewers.size() > 1 || is_alone) own.alone = is_alone;
+  if (self_leaving_ && hand_over_tenure(next, now)) return true;
+  return appoint(next, now) || changed || dropped > 0;
+}
+
+bool coordinator::hand_over_tenure(assignment_page& next, time_point now) const {
+  const auto successor = std::ranges::find_if(next.renewers, [&](const renewer_record& record) {
+    return record.id != self_.id && !record.withdrawn && alive(record.id, now);
+  });
+  if (successor == next.renewers.end()) return false;
+  withdraw(next.renewers.front(), next.sequence);
+  std::rotate(next.renewers.begin(), successor, std::next(successor));
+  ++next.epoch;
+  return true;
+}
+
+bool coordinator::appoint(assignment_page& next, time_point now) const {
+  const auto serving = [](const renewer_record& record) { return !record.withdrawn; };
+  const auto named = std::ranges::count_if(next.renewers, serving);
+  if (named >= static_cast<std::ptrdiff_t>(renewers_wanted)) return false;
+  if (next.renewers.size() >= renewers_most) return false;
+  const auto score = [&](const agent_description& member) {
+    const bool shares_domain = std::ranges::any_of(next.renewers, [&](const auto& record) {
+      return !record.withdrawn && record.failure_domain == member.failure_domain;
+    });
+    const bool is_fresh = now - last_heard(member.id) < timing_.renewal_interval * 7 / 5;
+    return (is_fresh ? 8 : 0) + (shares_domain ? 0 : 4) + (member.region == self_.region ? 2 : 0) +
+           (owns_any(next, member.id) ? 0 : 1);
+  };
+  const agent_description* best = nullptr;
+  for (const auto& member : next.members) {
+    const auto report = reports_.find(member.id);
+    const bool leaving = report != reports_.end() && report->second.leaving;
+    const bool is_named = std::ranges::any_of(
+        next.renewers, [&](const auto& record) { return record.id.name == member.id.name; });
+    const auto paused = appoint_after_.find(member.id.name);
+    const bool too_soon = paused != appoint_after_.end() && now < paused->second;
+    if (is_named || leaving || too_soon || !heard_lately(member.id, now)) continue;
+    if (best == nullptr || score(member) > score(*best)) best = &member;
+  }
+  if (best == nullptr) return false;
+  next.renewers.push_back({best->id, best->control, best->failure_domain, false, next.sequence});
+  const auto first_withdrawn = std::ranges::stable_partition(next.renewers, serving);
+  static_cast<void>(first_withdrawn);
+  return true;
+}
+
+bool coordinator::assign_ranges(assignment_page& next, const assignment_page& page,
+                                const renewer& rights, const group_intent& intent,
+                                time_point now) const {
+  auto quota = quotas(next, intent, now);
+  std::map<std::string, double> counts;
+  std::vector<range_assignment*> free;
+  std::map<agent_id, bool> ended;
+  for (auto& entry : next.ranges) {
+    const auto [known, is_new] = ended.try_emplace(entry.owner, false);
+    if (is_new) {
+      known->second = entry.owner.name.empty() || owner_ended(page, entry.owner, rights, now);
+    }
+    if (known->second || released_.contains(entry.token)) {
+      free.push_back(&entry);
+    } else {
+      counts[entry.owner.name] += 1;
+    }
+  }
+  std::erase_if(quota, [&](const auto& share) {
+    return !heard_lately(find_member(next, share.first)->id, now);
+  });
+  if (free.empty() || quota.empty()) return false;
+  const bool first_time = page.owner_changes == 0;
+  if (first_time && now - members_changed_ < settle_time) return false;
+  const auto fill = [&](const auto& entry) { return (counts[entry.first] + 1) / entry.second; };
+  for (auto* entry : free) {
+    const auto same = quota.find(entry->owner.name);
+    const bool returns = same != quota.end() && !released_.contains(entry->token) &&
+                         counts[same->first] < same->second;
+    const auto& chosen = returns ? same->first : std::ranges::min_element(quota, {}, fill)->first;
+    counts[chosen] += 1;
+    entry->had_earlier_owner = entry->had_earlier_owner || !entry->owner.name.empty();
+    entry->owner = find_member(next, chosen)->id;
+    entry->token = {next.epoch, ++next.owner_changes};
+  }
+  return true;
+}
+
+std::optional<assignment_page> coordinator::takeover_page(const assignment_page& page,
+                                                          const renewer& rights,
+                                                          time_point now) const {
+  const auto* own = find_appointment(page, rights.appointment());
+  if (own == nullptr || own->withdrawn || self_leaving_ || is_coordinator(page, self_.id)) {
+    return std::nullopt;
+  }
+  const auto& first = page.renewers.front();
+  const auto rank = std::ranges::count_if(
+      page.renewers.begin() + 1,
+      std::ranges::find(page.renewers, rights.appointment(), &renewer_record::appointment),
+      [](const renewer_record& record) { return !record.withdrawn; });
+  const duration patience = timing_.renewer_silence + rank * timing_.support_interval;
+  const auto gone = ended_since(first.id);
+  const bool lost = now - std::max(rights.heard_renewer(first.appointment), began_) > patience;
+  const bool replaced = gone && now - *gone >= rank * timing_.support_interval;
+  if (!first.withdrawn && !lost && !replaced) return std::nullopt;
+  assignment_page next = page;
+  ++next.sequence;
+  ++next.epoch;
+  if (can_prove_end(page, first, rights, now)) withdraw(next.renewers.front(), next.sequence);
+  const auto place =
+      std::ranges::find(next.renewers, rights.appointment(), &renewer_record::appointment);
+  std::rotate(next.renewers.begin(), place, std::next(place));
+  std::ranges::stable_partition(next.renewers,
+                                [](const renewer_record& record) { return !record.withdrawn; });
+  return next;
+}
+
+}  // namespace masticshunt::ownership
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -70,17 +70,23 @@
   return exit_ok;
 }
 
-int run_demo(const arguments& with) {
-  masticshunt::demo::demo_options options;
-  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+/// Reads --seconds and --seed. Returns false, with the remedy printed, if one is no whole number.
+bool read_run_length(const arguments& with, std::chrono::seconds& length, std::uint64_t& seed) {
   const auto seconds = number_argument(with, "--seconds");
-  const auto seed = number_argument(with, "--seed");
-  if (!seconds || !seed || *seconds == 0) {
+  const auto given_seed = number_argument(with, "--seed");
+  if (!seconds || !given_seed || *seconds == 0) {
     std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
-    return exit_usage;
+    return false;
   }
-  options.duration = std::chrono::seconds{*seconds};
-  options.seed = *seed;
+  length = std::chrono::seconds{*seconds};
+  seed = *given_seed;
+  return true;
+}
+
+int run_demo(const arguments& with) {
+  masticshunt::demo::demo_options options;
+  options.deployment = text_argument(with, "--deployment").value_or(options.deployment);
+  if (!read_run_length(with, options.duration, options.seed)) return exit_usage;
   return masticshunt::demo::run(options);
 }
 
@@ -90,14 +96,7 @@
   options.output_directory = text_argument(with, "--results").value_or("");
   options.strict = with.at("--strict").asBool();
   if (const auto scenario = text_argument(with, "--scenario")) options.scenarios = {*scenario};
-  const auto seconds = number_argument(with, "--seconds");
-  const auto seed = number_argument(with, "--seed");
-  if (!seconds || !seed || *seconds == 0) {
-    std::fputs("masticshunt: --seconds and --seed take whole numbers\n", stderr);
-    return exit_usage;
-  }
-  options.duration = std::chrono::seconds{*seconds};
-  options.seed = *seed;
+  if (!read_run_length(with, options.duration, options.seed)) return exit_usage;
   return masticshunt::bench::run(options);
 }
 
