Renew by naming the page in place of every range

Cause: docs/CAPACITY.md showed a coordinator of 100 members sending 300 KB/s against a target of 14 KB/s, since every renew_reply repeats the owner's 16 ranges. Change: an owner that holds the same page is told that it is renewed for all its ranges of that page; any difference (another page, a promise, a blocked or released range, an owner of an older version) spells the ranges out as before. A reply for another page than the owner's grants nothing.

--- a/include/masticshunt/decisions/ownership/messages.h
+++ b/include/masticshunt/decisions/ownership/messages.h
@@ -81,6 +81,7 @@
   std::uint64_t config_revision = 0;
   std::uint32_t schema_version_max = 1;
   double busy_slots = 0;
+  bool reads_whole_grants = false;  ///< The owner understands `renew_reply::whole`.
 
   bool operator==(const renew_request&) const = default;
 };
@@ -93,6 +94,7 @@
   std::uint64_t sequence = 0;  ///< Of the page that the renewer holds.
   duration lease{};
   std::vector<range_assignment> granted;
+  bool whole = false;  ///< Grants all ranges of the owner in page `sequence`; `granted` is empty.
 
   bool operator==(const renew_reply&) const = default;
 };
--- a/include/masticshunt/decisions/ownership/renewer.h
+++ b/include/masticshunt/decisions/ownership/renewer.h
@@ -67,6 +67,10 @@
   void send_ack(const endpoint& to, const assignment_page& page, step& step) const;
 
  private:
+  /// Names the page in place of the ranges where the owner holds the same page and gets them all.
+  static void shorten(renew_reply& reply, const renew_request& request,
+                      const assignment_page& page);
+
   struct peer {
     time_point heard;
     std::uint64_t sequence = 0;
--- a/src/decisions/ownership/agent_messages.cpp
+++ b/src/decisions/ownership/agent_messages.cpp
@@ -78,7 +78,17 @@
 void agent_core::state::on(const renew_reply& body, const endpoint& /*from*/, step& step) {
   const auto* host = own();
   if (host == nullptr || body.group != host->name()) return;
-  leases.handle(body, host->page().sequence, step);
+  const auto& page = host->page();
+  if (!body.whole) {
+    leases.handle(body, page.sequence, step);
+    return;
+  }
+  // Of another page than the one held here, "all" would mean other ranges: renewal asks anew.
+  if (body.sequence != page.sequence) return;
+  renew_reply spelled_out = body;
+  std::ranges::copy_if(page.ranges, std::back_inserter(spelled_out.granted),
+                       [&](const auto& entry) { return entry.owner == self.id; });
+  leases.handle(spelled_out, page.sequence, step);
 }
 
 void agent_core::state::on(const release_request& body, const endpoint& /*from*/, step& step) {
--- a/src/decisions/ownership/internal/json_codec.h
+++ b/src/decisions/ownership/internal/json_codec.h
@@ -88,9 +88,9 @@
                                                 own_grants_end_in)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(renew_request, group, owner, request, sequence,
                                                 leaving, released, config_digest, config_revision,
-                                                schema_version_max, busy_slots)
+                                                schema_version_max, busy_slots, reads_whole_grants)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(renew_reply, group, owner, request, sequence, lease,
-                                                granted)
+                                                granted, whole)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(release_request, group, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(support_request, group, appointment, request,
                                                 sequence, epoch, next_stop, active_stops)
--- a/src/decisions/ownership/owner.cpp
+++ b/src/decisions/ownership/owner.cpp
@@ -63,7 +63,8 @@
                         .config_digest = report.config_digest,
                         .config_revision = report.config_revision,
                         .schema_version_max = self_.schema_version_max,
-                        .busy_slots = report.busy_slots};
+                        .busy_slots = report.busy_slots,
+                        .reads_whole_grants = true};
   for (const auto& [first, entry] : held_) {
     if (entry.state == phase::released) request.released.push_back(entry.assignment.token);
   }
--- a/src/decisions/ownership/renewer.cpp
+++ b/src/decisions/ownership/renewer.cpp
@@ -111,6 +111,15 @@
   return found != promises_.end() && found->second.active && token.sequence <= found->second.up_to;
 }
 
+void renewer::shorten(renew_reply& reply, const renew_request& request,
+                      const assignment_page& page) {
+  const auto owned = std::ranges::count(page.ranges, request.owner, &range_assignment::owner);
+  const bool all_granted = static_cast<std::size_t>(owned) == reply.granted.size() && owned > 0;
+  if (!all_granted || !request.reads_whole_grants || request.sequence != page.sequence) return;
+  reply.granted.clear();
+  reply.whole = true;
+}
+
 void renewer::handle(const renew_request& request, const endpoint& from,
                      const assignment_page& page, const std::vector<fence_token>& blocked,
                      invariant_counters& invariants, step& step) {
@@ -136,6 +145,7 @@
     auto& grant_end = grant_ends_[request.owner];
     grant_end = std::max(grant_end, step.now + bounds_.for_giver(lease));
   }
+  shorten(reply, request, page);
   step.send(from, std::move(reply));
 }
 
--- a/tests/decisions/ownership/renewer_test.cpp
+++ b/tests/decisions/ownership/renewer_test.cpp
@@ -48,6 +48,20 @@
     if (asked.out.empty()) return 0;
     return std::get<renew_reply>(std::get<send_message>(asked.out.front()).body).granted.size();
   }
+  /// Returns the reply to an owner that holds the page of `sequence`.
+  renew_reply reply_to(time_point now, std::uint64_t sequence, bool reads_whole_grants,
+                       std::vector<fence_token> blocked = {}) {
+    step asked{now, {}};
+    renew_request request;
+    request.group = name_of_group();
+    request.owner = {"owner", 1};
+    request.sequence = sequence;
+    request.reads_whole_grants = reads_whole_grants;
+    subject.handle(request, "o", page, blocked, invariants, asked);
+    return asked.out.empty()
+               ? renew_reply{}
+               : std::get<renew_reply>(std::get<send_message>(asked.out.front()).body);
+  }
   actions demand_stop(std::uint64_t sequence, bool active = true, std::uint64_t number = 7) {
     step asked{start, {}};
     subject.handle(stop_request{name_of_group(),
@@ -157,3 +171,31 @@
   bench.support(start);
   expect_true(bench.subject.right_end(bench.page).value_or(time_point{}) <= start);
 }
+
+Test(renewer, names_the_page_to_an_owner_that_holds_the_same) {
+  renewer_bench bench;
+  bench.support(start);
+  const auto reply = bench.reply_to(start + milliseconds{30}, 9, true);
+  expect_true(reply.whole);
+  expect_true(reply.granted.empty());
+}
+
+Test(renewer, spells_the_ranges_out_to_an_owner_of_another_page) {
+  renewer_bench bench;
+  bench.support(start);
+  const auto reply = bench.reply_to(start + milliseconds{30}, 8, true);
+  expect_false(reply.whole);
+  expect_equal(reply.granted.size(), 1U);
+}
+
+Test(renewer, spells_the_ranges_out_to_an_owner_of_an_older_version) {
+  renewer_bench bench;
+  bench.support(start);
+  expect_false(bench.reply_to(start + milliseconds{30}, 9, false).whole);
+}
+
+Test(renewer, grants_nothing_whole_while_a_range_is_blocked) {
+  renewer_bench bench;
+  bench.support(start);
+  expect_false(bench.reply_to(start + milliseconds{30}, 9, true, {{4, 5}}).whole);
+}
