--- a/tools/internal/capacity_target.h
+++ b/tools/internal/capacity_target.h
@@ -80,7 +80,7 @@
       "worked out from measured slopes");
   row("control of a coordinator: 14,000 bytes/s sent", shown(at.coordinator_bytes),
       margin(at.coordinator_bytes, control),
-      "none yet: each reply repeats every range; see below what would meet it", "measured");
+      "a renewal names the page, not its ranges; see below what would meet it", "measured");
   row("control of an ordinary node: 1.2% of a core", shown(100 * owner_core) + "%",
       margin(owner_core, in.core_share), "as above", "worked out from measured slopes");
   row("control of a coordinator: 1.2% of a core", shown(100 * at.coordinator_core) + "%",
@@ -110,19 +110,15 @@
 
 inline void write_coordinator_remedies(const report& out, const capacity_inputs& in,
                                        const measured_slopes& by, const worked_out& at) {
-  const double renewals = in.members_per_group * 1e3 / in.renewal_interval_ms;
   table rows{
       "coordinator_remedies", {"change", "sent by each renewer, bytes/s", "margin", "kind"}, {}};
   const auto row = [&](const std::string& change, double value, const std::string& kind) {
     rows.rows.push_back({change, shown(value), margin(value, in.control_bytes_per_second), kind});
   };
   row("as it stands", at.coordinator_bytes, "measured");
-  const double compact = renewals * small_message_bytes + by.standby_bytes_per_second;
-  row("the reply grants \"all ranges of page sequence n\" and lists ranges only when they differ",
-      compact, "worked out");
-  const double shared = renewals / in.renewers_per_group * small_message_bytes;
-  row("the same, and owners divided among the 3 renewers", shared + by.standby_bytes_per_second,
-      "worked out");
+  const double shared =
+      (at.coordinator_bytes - by.standby_bytes_per_second) / in.renewers_per_group;
+  row("owners divided among the 3 renewers", shared + by.standby_bytes_per_second, "worked out");
   row("the same, and groups of 50 instead of 100", shared / 2 + by.standby_bytes_per_second,
       "worked out");
   out.write(rows);
