--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -7,6 +7,7 @@
 
 #include "masticshunt/agent/settings.h"
 #include "masticshunt/operator/command.h"
+#include "masticshunt/operator/meaning.h"
 #include "masticshunt/support/ini.h"
 #include "masticshunt/support/units.h"
 #include "operator/internal/agent_query.h"
@@ -187,6 +188,12 @@
   failure reason;
   auto records = read_files(context.list("FILE"), reason);
   if (!records) return context.fail(reason);
+  for (const auto& each : *records) {
+    if (auto fault = not_carried_out(each.content)) {
+      fault->message = each.place + ": " + fault->message;
+      return context.fail(*fault);
+    }
+  }
   if (!context.text("--expect").empty()) {
     const auto expected = support::count_from(context.text("--expect"));
     if (!expected || records->size() != 1) {
