--- /dev/null
+++ b/include/masticshunt/decisions/claims/steward.h
@@ -0,0 +1,163 @@
+/// @file
+/// The one agent of a service that may change who owns which keys.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "masticshunt/decisions/claims/claim_holder.h"
+#include "masticshunt/decisions/claims/claim_map.h"
+
+namespace masticshunt::claims {
+
+/// @name Actions of the steward.
+/// @{
+
+/// Read the service's map; answer with `map_read`.
+struct read_map {};
+/// Write the map if it still has `expected_revision` (0: if there is none); answer with
+/// `map_written`.
+struct write_map {
+  claim_map map;
+  std::uint64_t expected_revision = 0;
+};
+/// Read an owner's lease object; answer with `owner_lease_read`.
+struct read_owner_lease {
+  std::string agent;
+};
+/// Delete an owner's lease object if it still has `revision`; answer with `owner_lease_deleted`.
+struct delete_owner_lease {
+  std::string agent;
+  std::uint64_t revision = 0;
+};
+/// Send the map to owners that it concerns.
+struct push_map {
+  std::vector<endpoint> owners;
+};
+/// Something an operator may want to know.
+struct steward_note {
+  std::string text;
+};
+using steward_action =
+    std::variant<read_map, write_map, read_owner_lease, delete_owner_lease, push_map, steward_note>;
+using steward_actions = std::vector<steward_action>;
+/// @}
+
+/// What became of a conditional write or deletion.
+enum class write_result { taken, conflict, no_answer };
+
+/// Changes owners on evidence, balances their load, and renews the right of living owners.
+///
+/// An owner changes only if it gave the range back itself, if its upstream's life is over, or if
+/// its lease object, unchanged for as long as a renewal gives a right, could be deleted: then no
+/// renewal can have given it a right since. The office itself changes in the same way: a
+/// candidate writes the map over a revision that stood unchanged for `steward_right`.
+/// Life cycle: every agent has one for each keyed service; feed `tick` and all answers.
+/// Thread safety: none.
+class steward {
+ public:
+  steward(std::string service, std::string agent, endpoint address, std::uint64_t life,
+          claim_timing timing, time_point now);
+
+  /// Lets time act.
+  steward_actions tick(time_point now);
+  /// Answers an owner.
+  steward_reply report_received(const owner_report& report, time_point now);
+  /// Sets this agent's place among the candidates for the office; nothing: it is none.
+  void set_candidate(std::optional<std::size_t> place) { place_ = place; }
+  /// The store answered a read of the map (`answered`), or did not. `map` is empty if none exists.
+  void map_read(bool answered, const std::optional<claim_map>& map, time_point now);
+  /// The store answered the write sent at `sent`. `revision` is the new one if it was taken.
+  void map_written(write_result result, std::uint64_t revision, time_point sent, time_point now);
+  /// The store answered a read of an owner's lease object.
+  void owner_lease_read(const std::string& agent, const lease_answer& answer, time_point now);
+  /// The store answered a deletion of an owner's lease object.
+  void owner_lease_deleted(const std::string& agent, write_result result, time_point now);
+  /// Takes in a map seen elsewhere.
+  void map_seen(const claim_map& map, time_point now);
+  /// Gives the office back: the process is to end.
+  void give_back() { leaving_ = true; }
+
+  /// Returns true while this agent holds the office.
+  [[nodiscard]] bool in_office(time_point now) const { return holds_ && now < office_until_; }
+  /// Returns the newest map known to be in the store; its revision is zero if none is known.
+  [[nodiscard]] const claim_map& map() const { return map_; }
+
+ private:
+  struct owner {
+    owner_report report;
+    time_point last_report{};
+    time_point last_ack{};
+    std::uint64_t ended = 0;  ///< Registrations up to this one are over.
+    bool suspected = false;
+    bool lease_call = false;
+    bool deleting = false;  ///< A deletion was sent and may still take effect.
+    std::optional<std::uint64_t> lease_revision;
+    time_point lease_seen{};
+  };
+  struct demand {
+    released_range what;
+    std::string from;
+    std::string to;
+    time_point since;
+  };
+
+  void hold_office(time_point now, steward_actions& out);
+  void seek_office(time_point now, steward_actions& out);
+  void suspect_owners(time_point now, steward_actions& out);
+  void propose(claim_map next, time_point now, steward_actions& out);
+  void adopt(const claim_map& map, time_point now);
+  [[nodiscard]] claim_map next_map(time_point now);
+  void free_claims(claim_map& next, time_point now) const;
+  void assign_free(claim_map& next, time_point now);
+  void merge_neighbours(claim_map& next, time_point now) const;
+  void demand_drains(time_point now);
+  void demand_balance(time_point now);
+  [[nodiscard]] bool eligible(const std::string& agent, time_point now) const;
+  [[nodiscard]] bool over(const claim& one) const;
+  [[nodiscard]] std::map<std::string, double> loads(const std::vector<claim>& claims,
+                                                    time_point now) const;
+  [[nodiscard]] double load_of(const key_range& keys) const;
+  [[nodiscard]] std::vector<endpoint> owner_addresses(time_point now) const;
+  void give(claim& one, const std::string& agent, claim_map& next) const;
+  [[nodiscard]] std::optional<std::string> planned_for(const key_range& keys) const;
+
+  std::string service_;
+  std::string agent_;
+  endpoint address_;
+  std::uint64_t life_;
+  claim_timing timing_;
+  time_point began_;
+  std::optional<std::size_t> place_;
+  bool leaving_ = false;
+
+  claim_map map_;
+  bool store_known_ = false;  ///< The store said whether a map exists.
+  time_point revision_since_{};
+  time_point next_read_{};
+  bool read_in_flight_ = false;
+
+  bool holds_ = false;
+  time_point office_since_{};
+  time_point office_until_{};
+  time_point last_write_{};
+  std::optional<claim_map> pending_;
+  bool write_in_flight_ = false;
+  bool in_doubt_ = false;
+  std::optional<time_point> doubt_since_;  ///< The first write whose fate is not known.
+  time_point next_write_{};
+  bool push_ = false;
+
+  time_point last_tick_{};
+  std::map<std::string, owner> owners_;
+  std::vector<demand> demands_;
+  std::map<std::uint64_t, time_point> fence_since_;
+  time_point next_balance_{};
+  std::vector<std::string> notes_;
+};
+
+}  // namespace masticshunt::claims
--- /dev/null
+++ b/include/masticshunt/decisions/requests/repeat_budget.h
@@ -0,0 +1,52 @@
+/// @file
+/// How many requests may reach upstreams a second time, without a word between agents.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "masticshunt/base/time.h"
+
+namespace masticshunt::requests {
+
+/// The bound that all agents together keep, for each service.
+struct repeat_budget_settings {
+  double ratio = 0.2;                          ///< Repeats for each request.
+  duration window = std::chrono::seconds{10};  ///< Any span of this length counts.
+  double slack = 60;                           ///< Repeats allowed besides, for all agents.
+  double used_share = 0.6;                     ///< Of the bound that agents use.
+};
+
+/// One agent's part of the bound: repeats in a sliding window against its own requests in it, and
+/// an even part of the slack.
+///
+/// Thread safety: none.
+class repeat_budget {
+ public:
+  explicit repeat_budget(repeat_budget_settings settings) : settings_(settings) {}
+
+  /// Notes a request of a caller for `service`.
+  void requested(std::string_view service, time_point now);
+  /// Takes one repeat for `service` out of the budget. Returns false if there is none left.
+  bool take(std::string_view service, std::size_t agents, time_point now);
+  /// Returns how many repeats are left for `service`.
+  [[nodiscard]] double left(std::string_view service, std::size_t agents, time_point now);
+
+ private:
+  static constexpr std::size_t parts = 20;
+  struct counts {
+    std::array<std::uint32_t, parts> requests{};
+    std::array<std::uint32_t, parts> repeats{};
+    std::int64_t newest = 0;
+  };
+  counts& advanced(std::string_view service, time_point now);
+
+  repeat_budget_settings settings_;
+  std::map<std::string, counts, std::less<>> services_;
+};
+
+}  // namespace masticshunt::requests
--- /dev/null
+++ b/include/masticshunt/decisions/routing/desired_state.h
@@ -0,0 +1,103 @@
+/// @file
+/// What operators want to be in force: routes, services and limits, as one version.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticshunt::routing {
+
+/// Whether a request may be sent to an upstream again after it may have run.
+enum class repeat_rule { idempotent, at_most_once };
+
+/// A service that a route leads to, with its share of the route's requests.
+struct weighted_service {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  bool operator==(const weighted_service&) const = default;
+};
+
+/// One route. Requests match by host and by the longest path prefix.
+struct route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  repeat_rule repeats = repeat_rule::at_most_once;
+  std::chrono::milliseconds timeout{};  ///< The longest time that a request may be kept waiting.
+  std::chrono::milliseconds target{};   ///< The latency within which an answer has its full worth.
+  std::uint32_t rank = 0;               ///< 0 is the most urgent.
+  std::uint32_t upstreams_max = 1;      ///< Upstreams that one request may be run on.
+  std::vector<weighted_service> services;  ///< Never empty.
+
+  bool operator==(const route&) const = default;
+};
+
+/// One service.
+struct service {
+  std::string name;
+  std::string health_path;
+  std::uint32_t connections_max = 0;    ///< That one upstream accepts from all together.
+  bool keyed = false;                   ///< Its upstreams own keys exclusively.
+  std::chrono::milliseconds warm_up{};  ///< How long keys without a hand-over are slow.
+
+  bool operator==(const service&) const = default;
+};
+
+/// Bounds on what a caller may send, and on how long it may take or stay idle.
+struct caller_limits {
+  std::uint64_t header_bytes = 16'384;
+  std::uint64_t body_bytes = 67'108'864;
+  std::chrono::milliseconds header_timeout{3'000};
+  std::chrono::milliseconds idle_timeout{15'000};
+
+  bool operator==(const caller_limits&) const = default;
+};
+
+/// Everything that is in force together.
+struct desired_state {
+  std::uint64_t version = 0;
+  std::vector<route> routes;
+  std::map<std::string, service, std::less<>> services;
+  caller_limits limits;
+
+  bool operator==(const desired_state&) const = default;
+};
+
+/// Finds routes of one desired state.
+///
+/// Thread safety: immutable after construction.
+///
+///     route_table table(state);
+///     if (const route* found = table.match("shop.example", "/carts/7")) use(*found);
+class route_table {
+ public:
+  route_table() = default;
+  explicit route_table(desired_state state);
+
+  /// Returns the route of `host` with the longest prefix of `path`, or null. A port behind the
+  /// host is ignored; so is anything behind a '?' in `path`.
+  [[nodiscard]] const route* match(std::string_view host, std::string_view path) const;
+  /// Returns the service called `name`, or null.
+  [[nodiscard]] const service* find_service(std::string_view name) const;
+  /// Returns the state that the table was made from.
+  [[nodiscard]] const desired_state& state() const { return state_; }
+  /// Returns the version in force; zero while none is known.
+  [[nodiscard]] std::uint64_t version() const { return state_.version; }
+
+ private:
+  desired_state state_;
+  /// By host: positions in `state_.routes`, the longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+};
+
+/// Returns the service that `among` gives a request whose identity hashes to `hash`. The same
+/// request always goes to the same service, and over many each gets its weight's share.
+const std::string& service_for(const std::vector<weighted_service>& among, std::uint64_t hash);
+
+}  // namespace masticshunt::routing
--- /dev/null
+++ b/include/masticshunt/fleet/settings.h
@@ -0,0 +1,58 @@
+/// @file
+/// The settings of an agent of a fleet, read from an INI file and checked.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "masticshunt/base/failure.h"
+#include "masticshunt/base/identity.h"
+
+namespace masticshunt::fleet {
+
+/// Everything that a settings file says. docs/SETTINGS.md describes each entry.
+struct fleet_settings {
+  std::string name;
+  std::string ip;
+  std::string zone;
+  std::string region;
+  bool first_start = false;
+
+  endpoint callers;  ///< Requests of callers and of the upstream beside this agent.
+  endpoint readiness;
+  endpoint upstream_side;  ///< Heartbeats of the upstream beside this agent.
+  std::uint64_t peer_port = 0;
+  std::uint64_t metrics_port = 0;
+
+  endpoint upstream;
+  std::string service;
+  std::chrono::milliseconds heartbeat{1'000};
+
+  endpoint store;
+
+  std::chrono::milliseconds drain{2'000};
+  std::chrono::milliseconds grace{6'000};
+  std::chrono::milliseconds hold_max{10'000};
+  double repeat_ratio = 0.2;
+  std::chrono::milliseconds repeat_window{10'000};
+  double repeat_slack = 60;
+
+  bool operator==(const fleet_settings&) const = default;
+
+  /// Returns where peers reach this agent.
+  [[nodiscard]] endpoint peer_address() const { return ip + ":" + std::to_string(peer_port); }
+};
+
+/// Reads settings from INI text. Returns them, or nothing with `reason` naming line and remedy.
+std::optional<fleet_settings> parse_fleet_settings(std::string_view file, std::string_view text,
+                                                   failure& reason);
+/// Reads settings from the file at `path`.
+std::optional<fleet_settings> load_fleet_settings(const std::string& path, failure& reason);
+
+/// Returns the names of the entries whose values differ, as "section.key", separated by commas.
+std::string changed_entries(const fleet_settings& before, const fleet_settings& after);
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/decisions/claims/claim_map.cpp
@@ -0,0 +1,219 @@
+#include "masticshunt/decisions/claims/claim_map.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/base/failure.h"
+
+namespace masticshunt::claims {
+
+using nlohmann::json;
+
+const claim* claim_map::find(shard_key key) const {
+  const auto after =
+      std::ranges::upper_bound(claims, key, {}, [](const claim& each) { return each.keys.first; });
+  if (after == claims.begin()) return nullptr;
+  const claim& found = *std::prev(after);
+  return found.keys.contains(key) ? &found : nullptr;
+}
+
+bool claim_map::covers_all() const {
+  std::uint64_t next = 0;
+  for (const claim& each : claims) {
+    if (each.keys.first != next || each.keys.last < each.keys.first) return false;
+    next = std::uint64_t{each.keys.last} + 1;
+  }
+  return next == std::uint64_t{last_shard_key} + 1;
+}
+
+claim_map empty_map(std::string service) {
+  claim_map map;
+  map.service = std::move(service);
+  map.claims.emplace_back();
+  return map;
+}
+
+void split_at(std::vector<claim>& claims, const key_range& keys) {
+  const auto split_before = [&claims](std::uint64_t border) {
+    for (std::size_t i = 0; i < claims.size(); ++i) {
+      if (claims[i].keys.first >= border || claims[i].keys.last < border) continue;
+      claim upper = claims[i];
+      upper.keys.first = static_cast<shard_key>(border);
+      claims[i].keys.last = static_cast<shard_key>(border - 1);
+      claims.insert(claims.begin() + static_cast<std::ptrdiff_t>(i) + 1, std::move(upper));
+      return;
+    }
+  };
+  split_before(keys.first);
+  split_before(std::uint64_t{keys.last} + 1);
+}
+
+namespace {
+
+json pack(const key_range& keys) {
+  return json::array({keys.first, keys.last});
+}
+key_range unpack_range(const json& in) {
+  return {in.at(0).get<shard_key>(), in.at(1).get<shard_key>()};
+}
+json pack(const upstream_life& life) {
+  return json::array({life.id, life.born_ms});
+}
+upstream_life unpack_life(const json& in) {
+  return {in.at(0).get<std::string>(), in.at(1).get<std::int64_t>()};
+}
+json pack(const holder_id& holder) {
+  return json::array({holder.agent, holder.registration});
+}
+holder_id unpack_holder(const json& in) {
+  return {in.at(0).get<std::string>(), in.at(1).get<std::uint64_t>()};
+}
+
+json pack(const claim& one) {
+  return {{"keys", pack(one.keys)},
+          {"holder", pack(one.holder)},
+          {"upstream", pack(one.upstream)},
+          {"fence", one.fence},
+          {"handover", one.handover}};
+}
+claim unpack_claim(const json& in) {
+  return {unpack_range(in.at("keys")), unpack_holder(in.at("holder")),
+          unpack_life(in.at("upstream")), in.at("fence").get<std::uint64_t>(),
+          in.at("handover").get<std::string>()};
+}
+
+json pack(const claim_map& map) {
+  json claims = json::array();
+  for (const claim& each : map.claims) claims.push_back(pack(each));
+  return {{"service", map.service},
+          {"revision", map.revision},
+          {"beat", map.beat},
+          {"steward", map.steward},
+          {"steward_address", map.steward_address},
+          {"steward_life", map.steward_life},
+          {"next_fence", map.next_fence},
+          {"claims", std::move(claims)}};
+}
+claim_map unpack_map(const json& in) {
+  claim_map map;
+  map.service = in.at("service").get<std::string>();
+  map.revision = in.at("revision").get<std::uint64_t>();
+  map.beat = in.at("beat").get<std::uint64_t>();
+  map.steward = in.at("steward").get<std::string>();
+  map.steward_address = in.at("steward_address").get<std::string>();
+  map.steward_life = in.at("steward_life").get<std::uint64_t>();
+  map.next_fence = in.at("next_fence").get<std::uint64_t>();
+  for (const json& each : in.at("claims")) map.claims.push_back(unpack_claim(each));
+  if (!map.covers_all()) throw std::out_of_range("claims do not cover every key once");
+  return map;
+}
+
+json pack(const std::vector<released_range>& ranges) {
+  json out = json::array();
+  for (const auto& each : ranges)
+    out.push_back(json::array({pack(each.keys), each.fence, each.handover}));
+  return out;
+}
+std::vector<released_range> unpack_released(const json& in) {
+  std::vector<released_range> out;
+  for (const json& each : in)
+    out.push_back(
+        {unpack_range(each.at(0)), each.at(1).get<std::uint64_t>(), each.at(2).get<std::string>()});
+  return out;
+}
+
+json pack(const owner_report& report) {
+  json loads = json::array();
+  for (const auto& each : report.loads) loads.push_back(json::array({pack(each.keys), each.slots}));
+  return {{"service", report.service},
+          {"holder", pack(report.holder)},
+          {"address", report.address},
+          {"upstream", pack(report.upstream)},
+          {"accepting", report.accepting},
+          {"slots", report.slots},
+          {"service_us",
+           std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
+          {"map", report.map_revision},
+          {"released", pack(report.released)},
+          {"loads", std::move(loads)}};
+}
+owner_report unpack_report(const json& in) {
+  owner_report report;
+  report.service = in.at("service").get<std::string>();
+  report.holder = unpack_holder(in.at("holder"));
+  report.address = in.at("address").get<std::string>();
+  report.upstream = unpack_life(in.at("upstream"));
+  report.accepting = in.at("accepting").get<bool>();
+  report.slots = in.at("slots").get<std::uint32_t>();
+  report.service_time = std::chrono::microseconds{in.at("service_us").get<std::int64_t>()};
+  report.map_revision = in.at("map").get<std::uint64_t>();
+  report.released = unpack_released(in.at("released"));
+  for (const json& each : in.at("loads"))
+    report.loads.push_back({unpack_range(each.at(0)), each.at(1).get<double>()});
+  return report;
+}
+
+json pack(const steward_reply& reply) {
+  json out{{"renewed", reply.renewed},
+           {"is_steward", reply.is_steward},
+           {"to_release", pack(reply.to_release)}};
+  if (reply.map) out["map"] = pack(*reply.map);
+  return out;
+}
+steward_reply unpack_reply(const json& in) {
+  steward_reply reply;
+  reply.renewed = in.at("renewed").get<bool>();
+  reply.is_steward = in.at("is_steward").get<bool>();
+  reply.to_release = unpack_released(in.at("to_release"));
+  if (const auto map = in.find("map"); map != in.end()) reply.map = unpack_map(*map);
+  return reply;
+}
+
+std::string cbor_text(const json& value) {
+  const auto bytes = json::to_cbor(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+template <class Value, class Parse, class Unpack>
+std::optional<Value> read(std::string_view what, failure& reason, Parse parse, Unpack unpack) {
+  try {
+    return unpack(parse());
+  } catch (const std::exception& error) {
+    reason = {failure_kind::bad_input, std::string(what) + " can't be read: " + error.what(),
+              "check which version of masticshunt wrote it"};
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string to_json_text(const claim_map& map) {
+  return pack(map).dump();
+}
+std::optional<claim_map> map_from_json_text(std::string_view text, failure& reason) {
+  return read<claim_map>(
+      "claim map", reason, [&] { return json::parse(text); }, unpack_map);
+}
+std::string to_cbor_bytes(const claim_map& map) {
+  return cbor_text(pack(map));
+}
+std::optional<claim_map> map_from_cbor_bytes(std::string_view bytes, failure& reason) {
+  return read<claim_map>(
+      "claim map", reason, [&] { return json::from_cbor(bytes); }, unpack_map);
+}
+std::string to_cbor_bytes(const owner_report& report) {
+  return cbor_text(pack(report));
+}
+std::optional<owner_report> report_from_cbor_bytes(std::string_view bytes, failure& reason) {
+  return read<owner_report>(
+      "owner report", reason, [&] { return json::from_cbor(bytes); }, unpack_report);
+}
+std::string to_cbor_bytes(const steward_reply& reply) {
+  return cbor_text(pack(reply));
+}
+std::optional<steward_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason) {
+  return read<steward_reply>(
+      "steward reply", reason, [&] { return json::from_cbor(bytes); }, unpack_reply);
+}
+
+}  // namespace masticshunt::claims
--- /dev/null
+++ b/src/decisions/claims/steward.cpp
@@ -0,0 +1,328 @@
+#include "masticshunt/decisions/claims/steward.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticshunt::claims {
+
+namespace {
+
+constexpr duration candidate_stagger = std::chrono::milliseconds{400};
+constexpr duration read_interval = std::chrono::milliseconds{2'000};
+constexpr duration retry_interval = std::chrono::milliseconds{250};
+constexpr duration demand_lifetime = std::chrono::seconds{6};
+
+}  // namespace
+
+steward::steward(std::string service, std::string agent, endpoint address, std::uint64_t life,
+                 claim_timing timing, time_point now)
+    : service_(std::move(service)),
+      agent_(std::move(agent)),
+      address_(std::move(address)),
+      life_(life),
+      timing_(timing),
+      began_(now),
+      last_tick_(now) {}
+
+steward_actions steward::tick(time_point now) {
+  steward_actions out;
+  if (now - last_tick_ > timing_.pause_limit) {
+    // This process stood still: what it did not hear meanwhile proves nothing.
+    for (auto& [agent, one] : owners_) {
+      one.last_report = std::max(one.last_report, now);
+      one.suspected = false;
+      one.lease_revision.reset();
+    }
+  }
+  last_tick_ = now;
+  if (holds_ && now >= office_until_) {
+    holds_ = false;
+    notes_.emplace_back("office lost why=\"the map could not be written in time\"");
+  }
+  if (in_doubt_ && !read_in_flight_ && !write_in_flight_ && now >= next_read_) {
+    read_in_flight_ = true;
+    out.emplace_back(read_map{});
+  } else if (!in_doubt_ && !write_in_flight_) {
+    holds_ ? hold_office(now, out) : seek_office(now, out);
+  }
+  if (holds_) suspect_owners(now, out);
+  if (std::exchange(push_, false)) out.emplace_back(push_map{owner_addresses(now)});
+  for (auto& note : std::exchange(notes_, {})) out.emplace_back(steward_note{std::move(note)});
+  return out;
+}
+
+void steward::seek_office(time_point now, steward_actions& out) {
+  if (leaving_) return;
+  const bool mine_before = map_.revision > 0 && map_.steward == agent_;
+  if (!place_ && !mine_before) return;
+  const duration stagger = candidate_stagger * (mine_before ? 0 : place_.value_or(0));
+  const bool none = store_known_ && map_.revision == 0 && now >= began_ + stagger;
+  const bool given_back =
+      map_.revision > 0 && map_.steward.empty() && now >= revision_since_ + stagger;
+  const bool abandoned = map_.revision > 0 &&
+                         now >= revision_since_ + timing_.steward_right + timing_.margin + stagger;
+  if (none || given_back || abandoned || mine_before) {
+    claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
+    next.steward = agent_;
+    next.steward_address = address_;
+    next.steward_life = life_;
+    propose(std::move(next), now, out);
+    return;
+  }
+  if (read_in_flight_ || now < next_read_) return;
+  read_in_flight_ = true;
+  out.emplace_back(read_map{});
+}
+
+void steward::hold_office(time_point now, steward_actions& out) {
+  if (leaving_) {
+    claim_map next = map_;
+    next.steward.clear();
+    next.steward_address.clear();
+    propose(std::move(next), now, out);
+    return;
+  }
+  if (now < next_write_) return;
+  demand_drains(now);
+  demand_balance(now);
+  claim_map next = next_map(now);
+  const bool changed = next.claims != map_.claims;
+  if (!changed && now - last_write_ < timing_.steward_beat) return;
+  propose(std::move(next), now, out);
+}
+
+void steward::propose(claim_map next, time_point now, steward_actions& out) {
+  next.beat = map_.beat + 1;
+  next.steward_life = life_;
+  pending_ = std::move(next);
+  if (!doubt_since_) doubt_since_ = now;
+  write_in_flight_ = true;
+  out.emplace_back(write_map{*pending_, map_.revision});
+}
+
+void steward::adopt(const claim_map& map, time_point now) {
+  if (map.revision <= map_.revision) return;
+  if (map.claims != map_.claims) push_ = holds_;
+  map_ = map;
+  revision_since_ = now;
+  for (const claim& each : map_.claims) fence_since_.try_emplace(each.fence, now);
+  std::erase_if(fence_since_, [this](const auto& entry) {
+    return std::ranges::find(map_.claims, entry.first, &claim::fence) == map_.claims.end();
+  });
+}
+
+void steward::map_seen(const claim_map& map, time_point now) {
+  // In office this agent is the only writer; what others hold can't be newer.
+  if (map.service == service_ && !holds_) adopt(map, now);
+}
+
+void steward::map_read(bool answered, const std::optional<claim_map>& map, time_point now) {
+  read_in_flight_ = false;
+  next_read_ = now + (answered && !in_doubt_ ? read_interval : retry_interval);
+  if (!answered) return;
+  store_known_ = true;
+  if (!map) {
+    if (in_doubt_) in_doubt_ = false;
+    return;
+  }
+  if (in_doubt_ && pending_) {
+    in_doubt_ = false;
+    if (map->steward_life == life_ && map->beat == pending_->beat) {
+      // One of the writes in doubt took effect, perhaps not the last: what the store shows counts.
+      pending_ = *map;
+      map_written(write_result::taken, map->revision, *doubt_since_, now);
+      return;
+    }
+    if (map->revision == map_.revision) return;  // Not applied yet; it is decided anew.
+  }
+  if (holds_ && map->revision > map_.revision && map->steward_life != life_) {
+    holds_ = false;
+    notes_.push_back("office lost to=" + map->steward);
+  }
+  adopt(*map, now);
+}
+
+void steward::map_written(write_result result, std::uint64_t revision, time_point sent,
+                          time_point now) {
+  write_in_flight_ = false;
+  if (result != write_result::taken) {
+    in_doubt_ = true;
+    next_read_ = result == write_result::conflict ? now : now + retry_interval;
+    return;
+  }
+  in_doubt_ = false;
+  doubt_since_.reset();
+  claim_map written = std::move(*pending_);
+  pending_.reset();
+  written.revision = revision;
+  const bool was_in_office = holds_;
+  holds_ = !written.steward.empty();
+  office_until_ = sent + timing_.steward_right;
+  last_write_ = sent;
+  next_write_ = now + std::chrono::milliseconds{100};
+  store_known_ = true;
+  if (!was_in_office && holds_) {
+    office_since_ = now;
+    demands_.clear();
+    owners_.clear();
+    for (const claim& each : written.claims) {
+      if (each.holder.agent.empty()) continue;
+      owner& one = owners_[each.holder.agent];
+      one.last_report = now;
+      one.last_ack = now;
+    }
+    notes_.push_back("office taken revision=" + std::to_string(revision));
+  }
+  adopt(written, now);
+  std::erase_if(demands_, [this, now](const demand& each) {
+    const claim* named = map_.find(each.what.keys.first);
+    return named == nullptr || named->fence != each.what.fence ||
+           now - each.since > demand_lifetime;
+  });
+}
+
+steward_reply steward::report_received(const owner_report& report, time_point now) {
+  steward_reply reply{.is_steward = in_office(now)};
+  if (!reply.is_steward || report.service != service_) return reply;
+  if (report.map_revision < map_.revision) reply.map = map_;
+  owner& one = owners_[report.holder.agent];
+  const std::uint64_t registration = report.holder.registration;
+  if (registration > 0) one.ended = std::max(one.ended, registration - 1);
+  if (registration > one.report.holder.registration) one.deleting = false;
+  one.report = report;
+  one.last_report = now;
+  one.suspected = false;
+  one.lease_revision.reset();
+  const bool alive = registration > one.ended && !one.deleting;
+  reply.renewed = alive && now + timing_.reply_right < office_until_;
+  if (reply.renewed) one.last_ack = now;
+  for (const demand& each : demands_)
+    if (each.from == report.holder.agent) reply.to_release.push_back(each.what);
+  if (!report.released.empty()) next_write_ = std::min(next_write_, now);
+  return reply;
+}
+
+void steward::suspect_owners(time_point now, steward_actions& out) {
+  for (auto& [agent, one] : owners_) {
+    const std::string& name = agent;
+    const bool named = std::ranges::any_of(map_.claims, [&](const claim& each) {
+      return each.holder.agent == name && each.holder.registration > one.ended;
+    });
+    if (!named || one.lease_call) continue;
+    if (!one.deleting && now - std::max(one.last_report, office_since_) < timing_.owner_silence)
+      continue;
+    if (!std::exchange(one.suspected, true)) notes_.push_back("owner silent agent=" + agent);
+    if (!one.lease_revision) {
+      one.lease_call = true;
+      out.emplace_back(read_owner_lease{agent});
+      continue;
+    }
+    const bool lease_over = now >= one.lease_seen + timing_.lease_right + timing_.margin;
+    const bool reply_over = now >= one.last_ack + timing_.reply_right + timing_.margin;
+    if (!lease_over || !reply_over) continue;
+    one.lease_call = true;
+    one.deleting = true;
+    out.emplace_back(delete_owner_lease{agent, *one.lease_revision});
+  }
+}
+
+void steward::owner_lease_read(const std::string& agent, const lease_answer& answer,
+                               time_point now) {
+  owner& one = owners_[agent];
+  one.lease_call = false;
+  if (!answer.answered) return;
+  const auto held = std::ranges::max_element(map_.claims, {}, [&](const claim& each) {
+    return each.holder.agent == agent ? each.holder.registration : 0;
+  });
+  const std::uint64_t registration =
+      held != map_.claims.end() && held->holder.agent == agent ? held->holder.registration : 0;
+  if (!answer.registration || *answer.registration != registration) {
+    one.ended = std::max(one.ended, registration);
+    one.deleting = false;
+    notes_.push_back("owner ended agent=" + agent + " why=\"its lease object is gone\"");
+    next_write_ = now;
+    return;
+  }
+  if (one.lease_revision == answer.revision) return;
+  // Renewed since a deletion was decided: the deletion can't take effect any more.
+  one.deleting = false;
+  one.lease_revision = answer.revision;
+  one.lease_seen = now;
+}
+
+void steward::owner_lease_deleted(const std::string& agent, write_result result, time_point now) {
+  owner& one = owners_[agent];
+  one.lease_call = false;
+  if (result != write_result::taken) {
+    // Read it again; as long as it has the same revision the deletion may still take effect.
+    const bool conflict = result == write_result::conflict;
+    if (conflict) one.deleting = false;
+    one.lease_revision.reset();
+    return;
+  }
+  const auto registered = [&](const claim& each) { return each.holder.agent == agent; };
+  for (const claim& each : map_.claims)
+    if (registered(each)) one.ended = std::max(one.ended, each.holder.registration);
+  one.deleting = false;
+  one.suspected = false;
+  one.lease_revision.reset();
+  next_write_ = now;
+  notes_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\"");
+}
+
+std::vector<endpoint> steward::owner_addresses(time_point now) const {
+  std::vector<endpoint> result;
+  for (const auto& [agent, one] : owners_)
+    if (now - one.last_report < timing_.owner_silence && !one.report.address.empty())
+      result.push_back(one.report.address);
+  return result;
+}
+
+claim_map steward::next_map(time_point now) {
+  claim_map next = map_;
+  free_claims(next, now);
+  assign_free(next, now);
+  merge_neighbours(next, now);
+  return next;
+}
+
+void steward::free_claims(claim_map& next, time_point now) const {
+  for (const auto& [agent, one] : owners_) {
+    for (const released_range& each : one.report.released) {
+      const claim* named = next.find(each.keys.first);
+      if (named == nullptr || named->fence != each.fence || named->holder.agent != agent) continue;
+      split_at(next.claims, each.keys);
+      for (claim& claimed : next.claims) {
+        if (claimed.fence != each.fence || !each.keys.contains(claimed.keys)) continue;
+        claimed.holder = {};
+        claimed.handover = each.handover;
+      }
+    }
+  }
+  for (claim& each : next.claims) {
+    if (each.holder.agent.empty() || !over(each)) continue;
+    each.holder = {};
+    each.handover.clear();
+  }
+  static_cast<void>(now);
+}
+
+bool steward::over(const claim& one) const {
+  const auto found = owners_.find(one.holder.agent);
+  if (found == owners_.end()) return false;
+  const owner& holder = found->second;
+  if (one.holder.registration <= holder.ended) return true;
+  const owner_report& report = holder.report;
+  return report.holder.registration == one.holder.registration && !report.upstream.id.empty() &&
+         report.upstream != one.upstream;
+}
+
+bool steward::eligible(const std::string& agent, time_point now) const {
+  const auto found = owners_.find(agent);
+  if (found == owners_.end()) return false;
+  const owner& one = found->second;
+  return one.report.accepting && one.report.holder.registration > one.ended && !one.deleting &&
+         now - one.last_report < timing_.owner_silence;
+}
+
+}  // namespace masticshunt::claims
--- /dev/null
+++ b/src/fleet/internal/agent_process.cpp
@@ -0,0 +1,321 @@
+#include "fleet/internal/agent_process.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/support/clock.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration housekeeping_interval = std::chrono::milliseconds{100};
+constexpr duration registration_batching = std::chrono::milliseconds{150};
+/// Callers stop sending to an agent that is not ready after this time.
+constexpr duration leave_after = std::chrono::milliseconds{2'600};
+/// The gate refuses new work from here on, so that its last requests end in time.
+constexpr duration gate_closes_after = std::chrono::milliseconds{2'000};
+constexpr duration margin_before_grace = std::chrono::milliseconds{400};
+constexpr duration peer_idle_timeout = std::chrono::seconds{30};
+constexpr duration peer_pool_idle = std::chrono::seconds{20};
+constexpr unsigned status_not_ready = 503;
+constexpr unsigned status_not_found = 404;
+
+std::uint64_t life_of_process() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+}  // namespace
+
+agent_process::agent_process(asio::io_context& context, fleet_settings settings, std::string path)
+    : context_(context),
+      settings_(std::move(settings)),
+      path_(std::move(path)),
+      log_(STDOUT_FILENO, settings_.name),
+      life_(life_of_process()),
+      known_(settings_),
+      peer_pool_(context.get_executor(), {.idle_limit = peer_pool_idle}),
+      store_(context.get_executor(), settings_.store, log_),
+      gate_(context.get_executor(), {.upstream = settings_.upstream, .drain = settings_.drain}),
+      claims_(context.get_executor(), settings_, known_, store_, gate_, peer_pool_, log_, life_),
+      upstream_(context.get_executor(), settings_, known_, store_, gate_, log_),
+      peers_(context.get_executor(), settings_, known_, gate_, claims_, peer_pool_, log_),
+      entry_(context.get_executor(), settings_, known_, gate_, peers_, claims_, log_, metrics_),
+      callers_server_(context.get_executor(),
+                      [this](auto request) { entry_.handle(std::move(request)); }),
+      readiness_server_(
+          context.get_executor(),
+          [this](auto request) { request->respond({.status = ready() ? 200 : status_not_ready}); }),
+      upstream_server_(context.get_executor(),
+                       [this](auto request) { upstream_.handle(std::move(request)); }),
+      peer_server_(context.get_executor(),
+                   [this](auto request) { peers_.handle(std::move(request)); }),
+      metrics_server_(context.get_executor(), [this](auto request) { answer_metrics(request); }),
+      housekeeping_timer_(context),
+      claims_timer_(context),
+      signals_(context, SIGTERM, SIGINT, SIGHUP) {
+  server_limits peer_limits;
+  peer_limits.idle_timeout = peer_idle_timeout;
+  peer_limits.header_bytes = 64 * 1024;
+  peer_limits.body_bytes = std::uint64_t{1} << 32U;
+  peer_server_.set_limits(peer_limits);
+  peers_.on_state([this](const std::string& text) { put_state(text, "peer"); });
+  upstream_.on_change([this] { fleet_changed(); });
+}
+
+void agent_process::note(const std::string& text) {
+  log_.line(support::line_class::process, text, boot_now());
+}
+
+std::string agent_process::start() {
+  const std::string ip = settings_.ip + ":";
+  const std::array<std::pair<http_server*, endpoint>, 5> servers{
+      std::pair{&callers_server_, settings_.callers},
+      std::pair{&readiness_server_, settings_.readiness},
+      std::pair{&upstream_server_, settings_.upstream_side},
+      std::pair{&peer_server_, settings_.peer_address()},
+      std::pair{&metrics_server_, ip + std::to_string(settings_.metrics_port)}};
+  for (const auto& [server, address] : servers)
+    if (auto why = server->start(address); !why.empty()) return why;
+  note("start version=" MASTICSHUNT_VERSION " zone=" + settings_.zone +
+       " service=" + settings_.service + " upstream=" + settings_.upstream +
+       " store=" + settings_.store + " life=" + std::to_string(life_));
+  watch_store();
+  housekeeping();
+  wait_for_signal();
+  return {};
+}
+
+void agent_process::watch_store() {
+  state_watch_ = std::make_unique<store_watch>(
+      store_, std::string(platform::kind_desired_state), duration{},
+      store_watch::handlers{.listed =
+                                [this](std::vector<platform::stored_object> objects) {
+                                  for (const auto& each : objects)
+                                    if (each.name == platform::desired_state_name)
+                                      put_state(each.spec, "store");
+                                },
+                            .changed =
+                                [this](const platform::stored_change& change) {
+                                  if (!change.deleted &&
+                                      change.object.name == platform::desired_state_name)
+                                    put_state(change.object.spec, "store");
+                                }});
+  registration_watch_ = std::make_unique<store_watch>(
+      store_, std::string(platform::kind_registrations), registration_batching,
+      store_watch::handlers{
+          .listed =
+              [this](std::vector<platform::stored_object> objects) {
+                std::vector<routing::registration> entries;
+                for (const auto& each : objects) {
+                  failure reason;
+                  auto entry = platform::decode_registration(each.name, each.spec, reason);
+                  if (entry)
+                    entries.push_back(std::move(*entry));
+                  else
+                    note("registration_unreadable why=\"" + reason.describe() + "\"");
+                }
+                known_.directory.replace_all(std::move(entries), boot_now());
+                known_.directory_loaded = true;
+                upstream_.registrations_loaded();
+                fleet_changed();
+              },
+          .changed =
+              [this](const platform::stored_change& change) {
+                if (change.deleted) {
+                  known_.directory.remove(change.object.name);
+                  fleet_changed();
+                } else {
+                  take_registration(change.object);
+                }
+              }});
+  asio::co_spawn(context_, state_watch_->run(), asio::detached);
+  asio::co_spawn(context_, registration_watch_->run(), asio::detached);
+}
+
+void agent_process::put_state(const std::string& text, std::string_view from) {
+  failure reason;
+  auto state = platform::decode_desired_state(text, reason);
+  if (!state) {
+    note("state_unreadable from=" + std::string(from) + " why=\"" + reason.describe() + "\"");
+    return;
+  }
+  const auto version = state->version;
+  if (!known_.put_state(std::move(*state), text)) return;
+  const auto& in_force = known_.routes().state();
+  std::uint32_t ranks = 1;
+  for (const auto& route : in_force.routes) ranks = std::max(ranks, route.rank + 1);
+  gate_.set_ranks(std::min(ranks, 8U));
+  server_limits limits;
+  limits.header_bytes = static_cast<std::uint32_t>(in_force.limits.header_bytes);
+  limits.body_bytes = in_force.limits.body_bytes;
+  limits.header_timeout = in_force.limits.header_timeout;
+  limits.idle_timeout = in_force.limits.idle_timeout;
+  callers_server_.set_limits(limits);
+  note("state_in_force version=" + std::to_string(version) + " from=" + std::string(from) +
+       " routes=" + std::to_string(in_force.routes.size()));
+  fleet_changed();
+}
+
+void agent_process::take_registration(const platform::stored_object& object) {
+  failure reason;
+  auto entry = platform::decode_registration(object.name, object.spec, reason);
+  if (!entry) {
+    note("registration_unreadable why=\"" + reason.describe() + "\"");
+    return;
+  }
+  if (entry->agent == settings_.name) return;
+  const std::string text = "registration agent=" + entry->agent + " upstream=" + entry->life.id +
+                           " service=" + entry->service +
+                           " stage=" + std::string(routing::to_string(entry->stage));
+  if (!known_.directory.put(std::move(*entry), boot_now())) return;
+  note(text);
+  fleet_changed();
+}
+
+void agent_process::fleet_changed() {
+  const auto now = boot_now();
+  claims_.fleet_changed(now);
+  const auto& word = upstream_.watch().last();
+  if (word) {
+    const bool heard = upstream_.watch().confirmed() && upstream_.watch().present(now);
+    const bool stays = !upstream_.watch().leaving_since() && !stopping_since_;
+    claims_.upstream_is(heard ? std::optional(word->life) : std::nullopt, word->service, stays,
+                        word->slots, now);
+  }
+  for (const auto& [name, service] : known_.routes().state().services)
+    if (service.keyed && known_.find_map(name) == nullptr) claims_.refresh_map(name);
+  schedule_claims();
+}
+
+void agent_process::schedule_claims() {
+  if (claims_scheduled_) return;
+  const auto now = boot_now();
+  if (!claims_.tick(now)) return;
+  claims_scheduled_ = true;
+  claims_timer_.expires_after(claims_driver::tick_interval);
+  claims_timer_.async_wait([this](const boost::system::error_code& error) {
+    claims_scheduled_ = false;
+    if (!error) schedule_claims();
+  });
+}
+
+void agent_process::housekeeping() {
+  const auto now = boot_now();
+  for (auto* server :
+       {&callers_server_, &readiness_server_, &upstream_server_, &peer_server_, &metrics_server_})
+    server->sweep(now);
+  peer_pool_.sweep(now);
+  store_.sweep(now);
+  gate_.tick(now);
+  upstream_.tick(now);
+  for (const auto& [name, service] : known_.routes().state().services)
+    if (service.keyed && known_.find_map(name) == nullptr) claims_.refresh_map(name);
+  schedule_claims();
+  if (stopping_since_) advance_stop(now);
+  log_.flush(now);
+  housekeeping_timer_.expires_after(housekeeping_interval);
+  housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) housekeeping();
+  });
+}
+
+bool agent_process::ready() const {
+  return !stopping_since_ && known_.routes().version() > 0 && known_.directory.all().size() > 1;
+}
+
+void agent_process::wait_for_signal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) return;
+    signal == SIGHUP ? reload() : begin_stop();
+    wait_for_signal();
+  });
+}
+
+void agent_process::reload() {
+  failure reason;
+  auto fresh = load_fleet_settings(path_, reason);
+  if (!fresh) {
+    note("reload_refused why=\"" + reason.describe() + "\"");
+    return;
+  }
+  note("reload changed=" + changed_entries(settings_, *fresh));
+  // Addresses stay as they were bound; bounds are in force from here on.
+  settings_.drain = fresh->drain;
+  settings_.grace = fresh->grace;
+  settings_.hold_max = fresh->hold_max;
+  settings_.repeat_ratio = fresh->repeat_ratio;
+  settings_.repeat_slack = fresh->repeat_slack;
+}
+
+void agent_process::begin_stop() {
+  if (stopping_since_) return;
+  stopping_since_ = boot_now();
+  note("stop in_flight=" + std::to_string(callers_server_.open_requests()) +
+       " gate=" + std::to_string(gate_.in_flight()));
+  callers_server_.close_gently();
+  claims_.give_back();
+}
+
+void agent_process::advance_stop(time_point now) {
+  const auto since = now - *stopping_since_;
+  if (since >= gate_closes_after) gate_.stop();
+  if (since >= leave_after) callers_server_.stop_accepting();
+  const bool idle = callers_server_.open_requests() == 0 && gate_.in_flight() == 0 &&
+                    peer_server_.open_requests() == 0;
+  const bool over = since >= settings_.grace - margin_before_grace;
+  if (!(since >= leave_after && idle) && !over) return;
+  note("stopped in_flight=" + std::to_string(callers_server_.open_requests()));
+  log_.flush(now);
+  context_.stop();
+}
+
+void agent_process::answer_metrics(const std::shared_ptr<server_request>& request) {
+  const auto target =
+      std::string_view(request->head.target().data(), request->head.target().size());
+  if (target == "/metrics") {
+    request->respond(
+        {.lines = "Content-Type: text/plain; version=0.0.4\r\n", .text = metrics_.text()});
+  } else if (target == "/dump") {
+    request->respond({.lines = "Content-Type: application/json\r\n", .text = dump(boot_now())});
+  } else {
+    request->respond({.status = status_not_found});
+  }
+}
+
+std::string agent_process::dump(time_point now) const {
+  using nlohmann::json;
+  json upstreams = json::object();
+  for (const auto* each : known_.directory.all())
+    upstreams[each->agent] = {{"service", each->service},
+                              {"upstream", each->life.id},
+                              {"stage", routing::to_string(each->stage)},
+                              {"reachable", known_.directory.reachable(each->agent, now)}};
+  json maps = json::object();
+  for (const auto& [name, service] : known_.routes().state().services) {
+    const auto* map = known_.find_map(name);
+    if (map != nullptr) maps[name] = json::parse(claims::to_json_text(*map));
+  }
+  const auto load = gate_.load();
+  return json{
+      {"agent", settings_.name},
+      {"state_version", known_.routes().version()},
+      {"upstreams", upstreams},
+      {"claims", maps},
+      {"gate", {{"running", load.running}, {"waiting", load.waiting}, {"slots", load.slots}}},
+      {"steward", claims_.in_office(now)},
+      {"store_reached", store_.reached()}}
+      .dump(2);
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/agent_process.h
@@ -0,0 +1,82 @@
+/// @file
+/// Puts the parts of an agent together and drives them.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fleet/internal/claims_driver.h"
+#include "fleet/internal/entry.h"
+#include "fleet/internal/gate_service.h"
+#include "fleet/internal/http_client.h"
+#include "fleet/internal/http_server.h"
+#include "fleet/internal/knowledge.h"
+#include "fleet/internal/peer_side.h"
+#include "fleet/internal/store_client.h"
+#include "fleet/internal/upstream_side.h"
+#include "masticshunt/fleet/settings.h"
+#include "masticshunt/support/event_log.h"
+#include "masticshunt/support/metrics.h"
+
+namespace masticshunt::fleet {
+
+/// One agent: one thread, one event loop.
+///
+/// Life cycle: construct, `start`, run the context until it ends by itself: after a stop signal
+/// the agent gives its offices back, takes no new work, finishes what is in flight and leaves.
+class agent_process {
+ public:
+  agent_process(boost::asio::io_context& context, fleet_settings settings, std::string path);
+
+  /// Opens the endpoints and begins. Returns an empty text, or why that failed.
+  std::string start();
+
+ private:
+  void watch_store();
+  void put_state(const std::string& text, std::string_view from);
+  void take_registration(const platform::stored_object& object);
+  void fleet_changed();
+  void housekeeping();
+  void schedule_claims();
+  void wait_for_signal();
+  void reload();
+  void begin_stop();
+  void advance_stop(time_point now);
+  void answer_metrics(const std::shared_ptr<server_request>& request);
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] std::string dump(time_point now) const;
+  void note(const std::string& text);
+
+  boost::asio::io_context& context_;
+  fleet_settings settings_;
+  std::string path_;
+  support::event_log log_;
+  support::metrics_registry metrics_;
+  std::uint64_t life_;
+  knowledge known_;
+  connection_pool peer_pool_;
+  store_client store_;
+  gate_service gate_;
+  claims_driver claims_;
+  upstream_side upstream_;
+  peer_side peers_;
+  entry entry_;
+  http_server callers_server_;
+  http_server readiness_server_;
+  http_server upstream_server_;
+  http_server peer_server_;
+  http_server metrics_server_;
+  std::unique_ptr<store_watch> state_watch_;
+  std::unique_ptr<store_watch> registration_watch_;
+  boost::asio::steady_timer housekeeping_timer_;
+  boost::asio::steady_timer claims_timer_;
+  boost::asio::signal_set signals_;
+  std::optional<time_point> stopping_since_;
+  bool claims_scheduled_ = false;
+};
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/attempt.h
@@ -0,0 +1,110 @@
+/// @file
+/// One attempt to have a request run by an upstream, here or at a peer, and what became of it.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fleet/internal/body_pipe.h"
+#include "fleet/internal/cancellation.h"
+#include "fleet/internal/http_server.h"
+#include "masticshunt/decisions/claims/claim_map.h"
+#include "masticshunt/decisions/routing/upstream_directory.h"
+
+namespace masticshunt::fleet {
+
+/// A request as it goes to an upstream.
+struct attempt {
+  std::string id;
+  std::string method;
+  std::string target;
+  std::string lines;                ///< The caller's header lines that are passed on.
+  std::shared_ptr<body_pipe> body;  ///< Null: no body.
+  std::string service;
+  std::string caller_service;  ///< Of the VM where the request began.
+  std::uint32_t rank = 0;
+  bool idempotent = false;
+  std::optional<claims::shard_key> key;
+  time_point deadline;
+  std::uint64_t state_version = 0;  ///< The desired state that the entry routed by.
+  std::uint64_t map_revision = 0;   ///< The claim map that the entry routed by.
+  cancellation* left = nullptr;     ///< Never null in use.
+};
+
+/// What became of an attempt.
+enum class attempt_result {
+  answered,      ///< The upstream's own answer.
+  not_run,       ///< It did not run and will not.
+  may_have_run,  ///< Whether it ran is not known, or it ran and its answer is lost.
+  unreachable,   ///< Nothing was sent.
+  cancelled      ///< The caller has left.
+};
+
+/// Why an attempt was not run.
+enum class refusal {
+  none,
+  overloaded,     ///< The gate's queue would take too long.
+  leaving,        ///< The upstream or its agent takes nothing new.
+  no_upstream,    ///< No upstream of the service is there.
+  not_owner,      ///< Another agent owns the key.
+  owner_pending,  ///< The key is being granted or moved.
+  shed            ///< The upstream refused it.
+};
+std::string_view to_string(refusal why);
+refusal refusal_from(std::string_view name);
+std::string_view to_string(attempt_result result);
+
+/// The owner that a refusing agent names.
+struct owner_hint {
+  claims::claim claim;
+  std::uint64_t revision = 0;
+};
+
+/// The end of an attempt.
+struct attempt_outcome {
+  attempt_result result = attempt_result::unreachable;
+  refusal why = refusal::none;
+  bool reached_upstream = false;  ///< The upstream saw the request; a repeat costs budget.
+  std::chrono::milliseconds retry_after{0};
+  unsigned status = 0;
+  std::string lines;  ///< Header lines of the answer.
+  std::shared_ptr<body_pipe> body;
+  std::optional<routing::load_statement> load;
+  std::optional<owner_hint> owner;
+  std::string detail;  ///< For the log.
+};
+
+/// Returns an outcome for a request that was not run.
+attempt_outcome refused(refusal why, std::chrono::milliseconds retry_after = {},
+                        std::string detail = {});
+
+/// Returns the body of `request`, or null if its head announces none.
+std::shared_ptr<body_pipe> body_of(const server_request& request);
+
+/// Returns the header lines of `from` that are passed on to an upstream.
+std::string lines_towards_upstream(const fields& from);
+/// Returns the header lines of `from` that are passed on to a caller.
+std::string lines_towards_caller(const fields& from);
+
+/// @name The lines that agents add towards each other.
+/// @{
+std::string hop_line(const attempt& request, std::chrono::milliseconds time_left);
+/// Reads the hop line into `request`. Returns the time left, or nothing if there is no sound line.
+std::optional<std::chrono::milliseconds> read_hop(const fields& from, attempt& request);
+std::string load_line(const routing::load_statement& load);
+std::string refusal_line(const attempt_outcome& outcome);
+std::string version_line(std::uint64_t state_version, std::uint64_t map_revision);
+/// What a peer's answer states besides the upstream's own.
+struct peer_statement {
+  std::optional<routing::load_statement> load;
+  std::optional<attempt_outcome> refused;  ///< Set if the peer's gate refused or lost it.
+  std::uint64_t state_version = 0;
+  std::uint64_t map_revision = 0;
+};
+peer_statement read_peer_statement(const fields& from);
+/// @}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/claims_driver.cpp
@@ -0,0 +1,418 @@
+#include "fleet/internal/claims_driver.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/support/clock.h"
+#include "platform/headers.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+using platform::store_verdict;
+
+namespace {
+
+constexpr std::size_t candidates_max = 3;
+constexpr duration peer_timeout = std::chrono::milliseconds{700};
+constexpr duration refresh_interval = std::chrono::milliseconds{250};
+constexpr duration loads_interval = std::chrono::milliseconds{300};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_conflict = 409;
+
+/// What the lease object holds; only its revision matters.
+std::string lease_text(const fleet_settings& settings) {
+  return nlohmann::json{{"address", settings.peer_address()}}.dump();
+}
+
+claims::write_result write_result_of(const store_answer& answer) {
+  if (!answer.verdict) return claims::write_result::no_answer;
+  return *answer.verdict == store_verdict::done ? claims::write_result::taken
+                                                : claims::write_result::conflict;
+}
+
+}  // namespace
+
+claims_driver::claims_driver(asio::any_io_executor executor, const fleet_settings& settings,
+                             knowledge& known, store_client& store, gate_service& gate,
+                             connection_pool& peers, support::event_log& log, std::uint64_t life)
+    : executor_(std::move(executor)),
+      settings_(settings),
+      known_(known),
+      store_(store),
+      gate_(gate),
+      peers_(peers),
+      log_(log),
+      life_(life) {
+  timing_.hold = std::min<duration>(timing_.hold, settings.hold_max);
+  gate_.on_missing_key([this](claims::shard_key key) {
+    if (holder_) holder_->refused_by_upstream(key, boot_now());
+  });
+}
+
+void claims_driver::note(const std::string& text) {
+  log_.line(support::line_class::process, text, boot_now());
+}
+
+bool claims_driver::tick(time_point now) {
+  if (holder_) {
+    if (now >= next_loads_) {
+      next_loads_ = now + loads_interval;
+      holder_->set_load(gate_.key_loads(now), gate_.service_time());
+    }
+    for (const auto& action : holder_->tick(now)) carry_out(action);
+  }
+  bool seeks = false;
+  for (const auto& [service, one] : stewards_) {
+    const bool held_before = one->map().steward == settings_.name;
+    if (!candidate_[service] && !held_before) continue;
+    seeks = true;
+    for (const auto& action : one->tick(now)) carry_out(service, action);
+  }
+  return holder_ != nullptr || seeks;
+}
+
+void claims_driver::fleet_changed(time_point now) {
+  for (const auto& [name, service] : known_.routes().state().services) {
+    if (!service.keyed) continue;
+    auto& one = stewards_[name];
+    if (!one) {
+      one = std::make_unique<claims::steward>(name, settings_.name, settings_.peer_address(), life_,
+                                              timing_, now);
+      if (const auto* map = known_.find_map(name)) one->map_seen(*map, now);
+    }
+    // Agents without keys of the service come first: their loss costs no key its owner.
+    std::vector<std::pair<bool, std::string>> order;
+    for (const auto* each : known_.directory.all())
+      order.emplace_back(each->service == name, each->agent);
+    std::ranges::sort(order, {}, [&name](const auto& each) {
+      return std::tuple(each.first, std::hash<std::string>{}(each.second + name), each.second);
+    });
+    const auto place =
+        std::ranges::find(order, settings_.name, &std::pair<bool, std::string>::second);
+    const auto index = static_cast<std::size_t>(place - order.begin());
+    const bool candidate = place != order.end() && index < candidates_max;
+    candidate_[name] = candidate;
+    one->set_candidate(candidate ? std::optional(index) : std::nullopt);
+  }
+}
+
+void claims_driver::upstream_is(const std::optional<routing::upstream_life>& life,
+                                const std::string& service, bool stays, std::uint32_t slots,
+                                time_point now) {
+  const auto* known = known_.routes().find_service(service);
+  if (known != nullptr && known->keyed && (!holder_ || holder_service_ != service)) {
+    holder_service_ = service;
+    holder_ = std::make_unique<claims::claim_holder>(service, settings_.name,
+                                                     settings_.peer_address(), timing_, now);
+    gate_.set_holder(holder_.get());
+    if (const auto* map = known_.find_map(service)) holder_->map_seen(*map, now);
+  }
+  if (holder_) holder_->upstream_is(life, stays, slots, now);
+}
+
+void claims_driver::map_seen(const claims::claim_map& map, time_point now) {
+  known_.put_map(map);
+  if (holder_) holder_->map_seen(map, now);
+  if (const auto found = stewards_.find(map.service); found != stewards_.end())
+    found->second->map_seen(map, now);
+}
+
+claims::steward_reply claims_driver::report_received(const claims::owner_report& report,
+                                                     time_point now) {
+  const auto found = stewards_.find(report.service);
+  if (found == stewards_.end()) return {};
+  auto reply = found->second->report_received(report, now);
+  if (!report.released.empty())
+    for (const auto& action : found->second->tick(now)) carry_out(report.service, action);
+  return reply;
+}
+
+void claims_driver::give_back() {
+  for (const auto& [service, one] : stewards_) one->give_back();
+}
+
+bool claims_driver::in_office(time_point now) const {
+  return std::ranges::any_of(stewards_,
+                             [now](const auto& entry) { return entry.second->in_office(now); });
+}
+
+void claims_driver::carry_out(const claims::holder_action& action) {
+  const auto start = [this](asio::awaitable<void> work) {
+    asio::co_spawn(executor_, std::move(work), asio::detached);
+  };
+  if (std::holds_alternative<claims::read_lease>(action)) {
+    start(call_lease(platform::read_object(platform::kind_leases, settings_.name), false));
+  } else if (std::holds_alternative<claims::create_lease>(action)) {
+    start(call_lease(
+        platform::create_object(platform::kind_leases, settings_.name, lease_text(settings_)),
+        true));
+  } else if (const auto* renew = std::get_if<claims::renew_lease>(&action)) {
+    // The object must change with each renewal, or its revision stays.
+    const auto text = nlohmann::json{
+        {"address", settings_.peer_address()},
+        {"after", renew->revision},
+        {"life", life_}}.dump();
+    start(call_lease(
+        platform::replace_object(platform::kind_leases, settings_.name, text, renew->revision),
+        true));
+  } else if (const auto* send = std::get_if<claims::send_report>(&action)) {
+    start(report(*send));
+  } else if (const auto* grant_now = std::get_if<claims::grant_keys>(&action)) {
+    start(grant(*grant_now));
+  } else if (const auto* release_now = std::get_if<claims::release_keys>(&action)) {
+    start(release(*release_now));
+  } else if (const auto* text = std::get_if<claims::holder_note>(&action)) {
+    note("claims_holder " + text->text);
+  }
+}
+
+void claims_driver::carry_out(const std::string& service, const claims::steward_action& action) {
+  const auto start = [this](asio::awaitable<void> work) {
+    asio::co_spawn(executor_, std::move(work), asio::detached);
+  };
+  if (std::holds_alternative<claims::read_map>(action)) {
+    start(read_steward_map(service));
+  } else if (const auto* write = std::get_if<claims::write_map>(&action)) {
+    start(write_steward_map(service, *write));
+  } else if (const auto* read = std::get_if<claims::read_owner_lease>(&action)) {
+    start(read_owner_lease(service, read->agent));
+  } else if (const auto* remove = std::get_if<claims::delete_owner_lease>(&action)) {
+    start(delete_owner_lease(service, *remove));
+  } else if (const auto* pushed = std::get_if<claims::push_map>(&action)) {
+    start(push(service, pushed->owners));
+  } else if (const auto* text = std::get_if<claims::steward_note>(&action)) {
+    note("steward service=" + service + " " + text->text);
+  }
+}
+
+asio::awaitable<void> claims_driver::call_lease(platform::call what, bool writes) {
+  const auto sent = boot_now();
+  const auto answer = co_await store_.call(std::move(what), timing_.call_timeout);
+  claims::lease_answer seen;
+  seen.answered = answer.verdict == store_verdict::done ||
+                  answer.verdict == store_verdict::missing ||
+                  answer.verdict == store_verdict::conflict;
+  failure reason;
+  if (seen.answered && answer.verdict != store_verdict::missing) {
+    if (const auto object = platform::decode_object(answer.body, reason)) {
+      seen.registration = object->created;
+      seen.revision = object->revision;
+      seen.written = writes && answer.done();
+    } else {
+      seen.answered = false;
+      note("lease_unreadable why=\"" + reason.describe() + "\"");
+    }
+  }
+  if (holder_) holder_->lease_seen(seen, sent, boot_now());
+  tick(boot_now());
+}
+
+asio::awaitable<exchange_end> claims_driver::call_peer(endpoint to, std::string method,
+                                                       std::string target, std::string body,
+                                                       duration timeout) {
+  exchange_request request{.head = method + ' ' + target + " HTTP/1.1\r\nHost: " + to + "\r\n",
+                           .deadline = boot_now() + timeout};
+  if (!body.empty()) {
+    request.body = std::make_shared<body_pipe>();
+    request.body->append(body);
+    request.body->finish();
+  }
+  cancellation nobody;
+  co_return co_await run_exchange(peers_, std::move(to), std::move(request), nobody);
+}
+
+asio::awaitable<void> claims_driver::report(claims::send_report what) {
+  const auto sent = boot_now();
+  std::optional<claims::steward_reply> reply;
+  if (what.steward == settings_.peer_address()) {
+    reply = report_received(what.report, sent);
+  } else {
+    auto end = co_await call_peer(what.steward, "POST", std::string(report_path),
+                                  claims::to_cbor_bytes(what.report), peer_timeout);
+    failure reason;
+    if (end.result == exchange_result::answered && end.status == status_ok && end.body->whole())
+      reply = claims::reply_from_cbor_bytes(end.body->held(), reason);
+  }
+  if (!holder_) co_return;
+  if (reply && reply->map) known_.put_map(*reply->map);
+  const auto now = boot_now();
+  holder_->steward_answered(reply, sent, now);
+  if (!reply || !reply->is_steward) refresh_map(holder_service_);
+  tick(now);
+}
+
+asio::awaitable<exchange_end> claims_driver::call_upstream(platform::call what, duration timeout) {
+  exchange_request request{.head = what.method + ' ' + what.target + " HTTP/1.1\r\nHost: " +
+                                   gate_.upstream() + "\r\nContent-Type: application/json\r\n",
+                           .body = std::make_shared<body_pipe>(),
+                           .deadline = boot_now() + timeout};
+  request.body->append(what.body);
+  request.body->finish();
+  cancellation nobody;
+  co_return co_await run_exchange(gate_.pool(), gate_.upstream(), std::move(request), nobody);
+}
+
+asio::awaitable<void> claims_driver::grant(claims::grant_keys what) {
+  auto end = co_await call_upstream(
+      platform::grant_call(what.keys, what.fence,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(what.hold),
+                           what.handover),
+      timing_.call_timeout);
+  auto result = claims::grant_result::no_answer;
+  if (end.result == exchange_result::not_connected) result = claims::grant_result::refused;
+  if (end.result == exchange_result::answered) {
+    result = end.status == status_ok         ? claims::grant_result::granted
+             : end.status == status_conflict ? claims::grant_result::newer_fence
+                                             : claims::grant_result::refused;
+  }
+  if (result != claims::grant_result::granted)
+    note("grant_failed keys=" + std::to_string(what.keys.first) + "-" +
+         std::to_string(what.keys.last) + " fence=" + std::to_string(what.fence) +
+         " status=" + std::to_string(end.status) + " detail=\"" + end.detail + "\"");
+  if (holder_) holder_->grant_ended(what.call, result, boot_now());
+}
+
+asio::awaitable<void> claims_driver::release(claims::release_keys what) {
+  auto end = co_await call_upstream(platform::release_call(what.keys, what.fence),
+                                    timing_.release_timeout);
+  std::optional<std::string> handover;
+  if (end.result == exchange_result::answered && end.status == status_ok)
+    handover = platform::handover_of(end.head);
+  note("released keys=" + std::to_string(what.keys.first) + "-" + std::to_string(what.keys.last) +
+       " fence=" + std::to_string(what.fence) + " answered=" + (handover ? "yes" : "no"));
+  if (holder_) holder_->release_ended(what.call, handover, boot_now());
+  tick(boot_now());
+}
+
+asio::awaitable<void> claims_driver::read_steward_map(std::string service) {
+  const auto answer = co_await store_.call(platform::read_object(platform::kind_claims, service),
+                                           timing_.call_timeout);
+  const auto now = boot_now();
+  auto& one = *stewards_.at(service);
+  if (answer.verdict == store_verdict::missing) {
+    one.map_read(true, std::nullopt, now);
+  } else {
+    failure reason;
+    std::optional<claims::claim_map> map;
+    if (answer.done()) {
+      if (const auto object = platform::decode_object(answer.body, reason)) {
+        map = claims::map_from_json_text(object->spec, reason);
+        if (map) map->revision = object->revision;
+      }
+      if (!map) note("claims_unreadable service=" + service + " why=\"" + reason.describe() + "\"");
+    }
+    one.map_read(map.has_value(), map, now);
+    if (map) map_seen(*map, now);
+  }
+  tick(now);
+}
+
+asio::awaitable<void> claims_driver::write_steward_map(std::string service,
+                                                       claims::write_map what) {
+  const auto sent = boot_now();
+  const auto text = claims::to_json_text(what.map);
+  const auto call =
+      what.expected_revision == 0
+          ? platform::create_object(platform::kind_claims, service, text)
+          : platform::replace_object(platform::kind_claims, service, text, what.expected_revision);
+  const auto answer = co_await store_.call(call, timing_.call_timeout);
+  auto result = write_result_of(answer);
+  std::uint64_t revision = 0;
+  if (result == claims::write_result::taken) {
+    failure reason;
+    if (const auto object = platform::decode_object(answer.body, reason)) {
+      revision = object->revision;
+    } else {
+      result = claims::write_result::no_answer;
+    }
+  }
+  const auto now = boot_now();
+  auto& one = *stewards_.at(service);
+  one.map_written(result, revision, sent, now);
+  if (result == claims::write_result::taken) {
+    known_.put_map(one.map());
+    if (holder_) holder_->map_seen(one.map(), now);
+  }
+  tick(now);
+}
+
+asio::awaitable<void> claims_driver::read_owner_lease(std::string service, std::string agent) {
+  const auto answer = co_await store_.call(platform::read_object(platform::kind_leases, agent),
+                                           timing_.call_timeout);
+  claims::lease_answer seen;
+  failure reason;
+  if (answer.verdict == store_verdict::missing) seen.answered = true;
+  if (answer.done()) {
+    if (const auto object = platform::decode_object(answer.body, reason)) {
+      seen = {.answered = true, .registration = object->created, .revision = object->revision};
+    }
+  }
+  stewards_.at(service)->owner_lease_read(agent, seen, boot_now());
+}
+
+asio::awaitable<void> claims_driver::delete_owner_lease(std::string service,
+                                                        claims::delete_owner_lease what) {
+  const auto answer = co_await store_.call(
+      platform::delete_object(platform::kind_leases, what.agent, what.revision),
+      timing_.call_timeout);
+  auto result = write_result_of(answer);
+  // A refused call has done nothing, but is no conflict either: it is to be tried again.
+  if (answer.verdict == store_verdict::refused) result = claims::write_result::no_answer;
+  stewards_.at(service)->owner_lease_deleted(what.agent, result, boot_now());
+  tick(boot_now());
+}
+
+asio::awaitable<void> claims_driver::push(std::string service, std::vector<endpoint> owners) {
+  const auto bytes = claims::to_cbor_bytes(stewards_.at(service)->map());
+  for (const auto& each : owners) {
+    if (each == settings_.peer_address()) continue;
+    asio::co_spawn(
+        executor_,
+        [this, each, service, bytes]() -> asio::awaitable<void> {
+          co_await call_peer(each, "POST", std::string(map_path) + service, bytes, peer_timeout);
+        },
+        asio::detached);
+  }
+  co_return;
+}
+
+void claims_driver::refresh_map(const std::string& service) {
+  const auto now = boot_now();
+  auto& after = refresh_after_[service];
+  if (now < after) return;
+  after = now + refresh_interval;
+  asio::co_spawn(executor_, refresh(service), asio::detached);
+}
+
+asio::awaitable<void> claims_driver::refresh(std::string service) {
+  failure reason;
+  const auto* known = known_.find_map(service);
+  if (known != nullptr && !known->steward_address.empty() &&
+      known->steward_address != settings_.peer_address()) {
+    auto end = co_await call_peer(known->steward_address, "GET", std::string(map_path) + service,
+                                  {}, peer_timeout);
+    if (end.result == exchange_result::answered && end.status == status_ok && end.body->whole()) {
+      if (const auto map = claims::map_from_cbor_bytes(end.body->held(), reason)) {
+        map_seen(*map, boot_now());
+        co_return;
+      }
+    }
+  }
+  refresh_after_[service] = boot_now() + 3 * refresh_interval;
+  const auto answer = co_await store_.call(platform::read_object(platform::kind_claims, service),
+                                           timing_.call_timeout);
+  if (!answer.done()) co_return;
+  const auto object = platform::decode_object(answer.body, reason);
+  auto map = object ? claims::map_from_json_text(object->spec, reason) : std::nullopt;
+  if (!map) {
+    note("claims_unreadable service=" + service + " why=\"" + reason.describe() + "\"");
+    co_return;
+  }
+  map->revision = object->revision;
+  map_seen(*map, boot_now());
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/claims_driver.h
@@ -0,0 +1,97 @@
+/// @file
+/// Carries out what the claim holder and the stewards decide.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fleet/internal/gate_service.h"
+#include "fleet/internal/knowledge.h"
+#include "fleet/internal/store_client.h"
+#include "masticshunt/decisions/claims/claim_holder.h"
+#include "masticshunt/decisions/claims/steward.h"
+#include "masticshunt/fleet/settings.h"
+
+namespace masticshunt::fleet {
+
+/// Runs the owner's side of claims for the upstream beside this agent, and a steward for each
+/// service that is divided by key.
+///
+/// Life cycle: call `tick` about every `tick_interval`, and whenever something it waits for has
+/// happened. Thread safety: none.
+class claims_driver {
+ public:
+  static constexpr duration tick_interval = std::chrono::milliseconds{50};
+
+  claims_driver(boost::asio::any_io_executor executor, const fleet_settings& settings,
+                knowledge& known, store_client& store, gate_service& gate, connection_pool& peers,
+                support::event_log& log, std::uint64_t life);
+
+  /// Lets time act. Returns false if nothing here needs a tick.
+  bool tick(time_point now);
+  /// The services, or the agents, that are known have changed.
+  void fleet_changed(time_point now);
+  /// The upstream beside this agent is there with `life`, or is not (nothing).
+  void upstream_is(const std::optional<routing::upstream_life>& life, const std::string& service,
+                   bool stays, std::uint32_t slots, time_point now);
+  /// A map arrived from the store or from a peer.
+  void map_seen(const claims::claim_map& map, time_point now);
+  /// An owner's report arrived. Returns the answer for it.
+  claims::steward_reply report_received(const claims::owner_report& report, time_point now);
+  /// Looks for a newer map of `service`, at its steward or in the store.
+  void refresh_map(const std::string& service);
+  /// Gives the stewards' offices back.
+  void give_back();
+  /// Returns true while this agent is a steward.
+  [[nodiscard]] bool in_office(time_point now) const;
+  [[nodiscard]] const claims::claim_holder* holder() const { return holder_.get(); }
+
+ private:
+  void carry_out(const claims::holder_action& action);
+  void carry_out(const std::string& service, const claims::steward_action& action);
+
+  boost::asio::awaitable<void> call_lease(platform::call what, bool writes);
+  boost::asio::awaitable<void> report(claims::send_report what);
+  boost::asio::awaitable<void> grant(claims::grant_keys what);
+  boost::asio::awaitable<void> release(claims::release_keys what);
+  boost::asio::awaitable<void> read_steward_map(std::string service);
+  boost::asio::awaitable<void> write_steward_map(std::string service, claims::write_map what);
+  boost::asio::awaitable<void> read_owner_lease(std::string service, std::string agent);
+  boost::asio::awaitable<void> delete_owner_lease(std::string service,
+                                                  claims::delete_owner_lease what);
+  boost::asio::awaitable<void> push(std::string service, std::vector<endpoint> owners);
+  boost::asio::awaitable<void> refresh(std::string service);
+  boost::asio::awaitable<exchange_end> call_upstream(platform::call what, duration timeout);
+  boost::asio::awaitable<exchange_end> call_peer(endpoint to, std::string method,
+                                                 std::string target, std::string body,
+                                                 duration timeout);
+  void note(const std::string& text);
+
+  boost::asio::any_io_executor executor_;
+  const fleet_settings& settings_;
+  knowledge& known_;
+  store_client& store_;
+  gate_service& gate_;
+  connection_pool& peers_;
+  support::event_log& log_;
+  std::uint64_t life_;
+  claims::claim_timing timing_;
+  std::unique_ptr<claims::claim_holder> holder_;
+  std::string holder_service_;
+  std::map<std::string, std::unique_ptr<claims::steward>> stewards_;
+  std::map<std::string, bool> candidate_;
+  std::map<std::string, time_point> refresh_after_;
+  time_point next_loads_{};
+};
+
+/// @name Paths of the calls between agents.
+/// @{
+inline constexpr std::string_view report_path = "/masticshunt/report";
+inline constexpr std::string_view map_path = "/masticshunt/map/";
+inline constexpr std::string_view state_path = "/masticshunt/state";
+/// @}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/entry.cpp
@@ -0,0 +1,362 @@
+#include "fleet/internal/entry.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "masticshunt/support/clock.h"
+#include "platform/headers.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds shortest_attempt{5};
+constexpr duration owner_poll = milliseconds{25};
+constexpr double owner_wait_share = 0.3;  // of the time that the request has
+constexpr duration owner_wait_max = milliseconds{600};
+constexpr int gates_tried_max = 4;
+constexpr int attempts_max = 16;
+constexpr milliseconds come_back_soon{60};
+constexpr double come_back_share = 0.3;  // of the time left; callers heed no more than a third
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+constexpr unsigned first_server_error = 500;
+
+std::string text_of(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+/// One request on its way.
+struct entry::job {
+  std::shared_ptr<server_request> request;
+  platform::request_stamp stamp;
+  std::string route;
+  std::string service;
+  std::uint32_t upstreams_max = 1;
+  bool idempotent = false;
+  bool keyed = false;
+  time_point deadline;
+  std::shared_ptr<attempt> what;
+  std::vector<std::string> tried;
+  std::uint32_t reached = 0;  ///< Attempts that an upstream saw.
+  std::uint32_t ran = 0;      ///< Attempts that may have run.
+  int attempts = 0;
+  int gates_full = 0;
+  duration waited{};
+  refusal last_refusal = refusal::no_upstream;
+  milliseconds retry_after{0};
+  std::string detail;
+  std::string agent;
+  std::optional<attempt_outcome> fallback;  ///< The upstream's failure, kept while trying again.
+};
+
+entry::entry(asio::any_io_executor executor, const fleet_settings& settings, knowledge& known,
+             gate_service& gate, peer_side& peers, claims_driver& claims, support::event_log& log,
+             support::metrics_registry& metrics)
+    : executor_(std::move(executor)),
+      settings_(settings),
+      known_(known),
+      gate_(gate),
+      peers_(peers),
+      claims_(claims),
+      log_(log),
+      metrics_(metrics),
+      budget_({.ratio = settings.repeat_ratio,
+               .window = settings.repeat_window,
+               .slack = settings.repeat_slack}),
+      random_(std::hash<std::string>{}(settings.name)) {}
+
+void entry::handle(std::shared_ptr<server_request> request) {
+  asio::co_spawn(executor_, serve(std::move(request)), asio::detached);
+}
+
+asio::awaitable<void> entry::serve(std::shared_ptr<server_request> request) {
+  job now{.request = request, .stamp = platform::read_stamp(request->head)};
+  now.deadline = request->arrived + now.stamp.patience.value_or(come_back_soon);
+  if (known_.routes().version() == 0) {
+    answer_refused(now, refusal::none, come_back_soon);
+    co_return;
+  }
+  const std::string target = text_of(request->head.target());
+  const auto* route =
+      known_.routes().match(text_of(request->head[boost::beast::http::field::host]), target);
+  if (route == nullptr) {
+    request->respond({.status = status_not_found,
+                      .lines = platform::id_line(now.stamp.id),
+                      .text = "no route leads here\n"});
+    record(now, "no_route", status_not_found, target);
+    co_return;
+  }
+  const auto hash = XXH64(now.stamp.id.data(), now.stamp.id.size(), 0);
+  now.route = route->name;
+  now.service = routing::service_for(route->services, hash);
+  now.upstreams_max = std::max(1U, route->upstreams_max);
+  now.idempotent = route->repeats == routing::repeat_rule::idempotent;
+  const auto* service = known_.routes().find_service(now.service);
+  now.keyed = service != nullptr && service->keyed && now.stamp.key;
+  now.deadline =
+      request->arrived + std::min(now.stamp.patience.value_or(route->timeout), route->timeout);
+  budget_.requested(now.service, request->arrived);
+
+  now.what = std::make_shared<attempt>();
+  attempt& what = *now.what;
+  what.id = now.stamp.id;
+  what.method = text_of(request->head.method_string());
+  what.target = target;
+  what.lines = lines_towards_upstream(request->head);
+  what.body = body_of(*request);
+  what.service = now.service;
+  what.caller_service = settings_.service;
+  what.rank = route->rank;
+  what.idempotent = now.idempotent;
+  if (now.keyed) what.key = now.stamp.key;
+  what.deadline = now.deadline;
+  what.left = &request->left;
+
+  if (what.body && !what.body->ready()) {
+    asio::steady_timer changed(executor_);
+    what.body->on_change([&changed, body = what.body.get()] {
+      if (body->ready()) changed.cancel();
+    });
+    boost::system::error_code ignored;
+    changed.expires_after(std::max(duration{}, now.deadline - boot_now()));
+    co_await changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    what.body->on_change(nullptr);
+    if (what.body->failed()) co_return;
+  }
+  co_await run(now);
+}
+
+asio::awaitable<void> entry::run(job& now) {
+  for (; now.attempts < attempts_max; ++now.attempts) {
+    if (now.request->left.requested()) {
+      record(now, "caller_left", 0, now.detail);
+      co_return;
+    }
+    if (now.deadline - boot_now() < shortest_attempt) break;
+    const auto agent = choose(now);
+    if (!agent) {
+      if (now.keyed && co_await await_owner(now)) continue;
+      break;
+    }
+    now.agent = *agent;
+    auto outcome = co_await try_once(now, *agent);
+    switch (judge(now, *agent, outcome)) {
+      case next_step::answer:
+        answer(now, std::move(outcome));
+        co_return;
+      case next_step::again:
+        if (outcome.result == attempt_result::answered) now.fallback = std::move(outcome);
+        if (now.keyed && outcome.result != attempt_result::answered &&
+            outcome.why != refusal::not_owner && !co_await await_owner(now))
+          break;
+        continue;
+      case next_step::refuse:
+      case next_step::fail:
+        break;
+    }
+    break;
+  }
+  if (now.request->left.requested()) {
+    record(now, "caller_left", 0, now.detail);
+    co_return;
+  }
+  if (now.fallback) {
+    answer(now, std::move(*now.fallback));
+  } else if (now.ran > 0) {
+    answer_failed(now, now.detail);
+  } else {
+    answer_refused(now, now.last_refusal, now.retry_after);
+  }
+}
+
+std::optional<std::string> entry::choose(job& now) {
+  const auto moment = boot_now();
+  if (!now.keyed) {
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    return known_.directory.choose(now.service, now.tried, draw, moment);
+  }
+  const auto owner = known_.owner_of(now.service, *now.stamp.key);
+  if (!owner) {
+    claims_.refresh_map(now.service);
+    now.last_refusal = refusal::owner_pending;
+    return std::nullopt;
+  }
+  if (!known_.directory.reachable(owner->agent, moment) ||
+      known_.directory.find(owner->agent) == nullptr) {
+    claims_.refresh_map(now.service);
+    now.last_refusal = refusal::owner_pending;
+    return std::nullopt;
+  }
+  now.what->map_revision = owner->map_revision;
+  return owner->agent;
+}
+
+asio::awaitable<bool> entry::await_owner(job& now) {
+  const auto whole = now.deadline - now.request->arrived;
+  const auto most =
+      std::min(owner_wait_max, std::chrono::duration_cast<duration>(whole * owner_wait_share));
+  if (now.waited >= most) co_return false;
+  asio::steady_timer pause(executor_, owner_poll);
+  boost::system::error_code ignored;
+  co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  now.waited += owner_poll;
+  co_return true;
+}
+
+asio::awaitable<attempt_outcome> entry::try_once(job& now, const std::string& agent) {
+  now.what->state_version = known_.routes().version();
+  if (agent == settings_.name) {
+    known_.directory.sent(agent);
+    auto outcome = co_await gate_.serve(now.what);
+    const bool failed =
+        outcome.result == attempt_result::may_have_run ||
+        (outcome.result == attempt_result::answered && outcome.status >= first_server_error);
+    known_.directory.ended(
+        agent,
+        failed                                      ? routing::attempt_mark::failed
+        : outcome.why == refusal::no_upstream       ? routing::attempt_mark::unreachable
+        : outcome.result == attempt_result::not_run ? routing::attempt_mark::refused
+                                                    : routing::attempt_mark::good,
+        gate_.load(), boot_now());
+    co_return outcome;
+  }
+  const auto* peer = known_.directory.find(agent);
+  if (peer == nullptr) co_return refused(refusal::no_upstream);
+  const endpoint to = peer->address;
+  co_return co_await peers_.send(now.what, agent, to);
+}
+
+bool entry::may_repeat(job& now) {
+  const bool resendable = !now.what->body || now.what->body->whole();
+  return resendable && now.reached < now.upstreams_max &&
+         now.deadline - boot_now() > shortest_attempt &&
+         budget_.take(now.service, known_.directory.all().size(), boot_now());
+}
+
+entry::next_step entry::judge(job& now, const std::string& agent, const attempt_outcome& outcome) {
+  if (outcome.reached_upstream) ++now.reached;
+  now.detail = outcome.detail;
+  const bool whole = !now.what->body || now.what->body->whole();
+  switch (outcome.result) {
+    case attempt_result::answered:
+      ++now.ran;
+      now.tried.push_back(agent);
+      if (outcome.status < first_server_error || !now.idempotent || now.fallback)
+        return next_step::answer;
+      return may_repeat(now) ? next_step::again : next_step::answer;
+    case attempt_result::cancelled:
+      return next_step::fail;
+    case attempt_result::unreachable:
+      now.tried.push_back(agent);
+      now.last_refusal = refusal::no_upstream;
+      if (now.keyed) claims_.refresh_map(now.service);
+      return whole ? next_step::again : next_step::refuse;
+    case attempt_result::may_have_run:
+      ++now.ran;
+      now.tried.push_back(agent);
+      return now.idempotent && may_repeat(now) ? next_step::again : next_step::fail;
+    case attempt_result::not_run:
+      break;
+  }
+  now.last_refusal = outcome.why;
+  now.retry_after = outcome.retry_after;
+  if (!whole) return next_step::refuse;
+  switch (outcome.why) {
+    case refusal::not_owner:
+      if (outcome.owner)
+        known_.put_hint(now.service, outcome.owner->claim, outcome.owner->revision);
+      claims_.refresh_map(now.service);
+      return next_step::again;
+    case refusal::owner_pending:
+    case refusal::leaving:
+    case refusal::no_upstream:
+      now.tried.push_back(agent);
+      return now.reached == 0 || may_repeat(now) ? next_step::again : next_step::refuse;
+    case refusal::overloaded:
+      now.tried.push_back(agent);
+      return !now.keyed && ++now.gates_full < gates_tried_max ? next_step::again
+                                                              : next_step::refuse;
+    case refusal::shed:
+      now.tried.push_back(agent);
+      return !now.keyed && may_repeat(now) ? next_step::again : next_step::refuse;
+    case refusal::none:
+      break;
+  }
+  return next_step::refuse;
+}
+
+void entry::answer(job& now, attempt_outcome outcome) {
+  record(now, "answered", outcome.status, {});
+  now.request->respond(
+      {.status = outcome.status, .lines = std::move(outcome.lines), .body = outcome.body});
+}
+
+void entry::answer_refused(job& now, refusal why, milliseconds retry_after) {
+  const auto left = std::chrono::duration_cast<milliseconds>(now.deadline - boot_now());
+  const auto most =
+      std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(left * come_back_share));
+  const auto after = std::clamp(std::max(retry_after, come_back_soon), milliseconds{0}, most);
+  record(now, "refused", status_unavailable, to_string(why));
+  now.request->respond({.status = status_unavailable,
+                        .lines = platform::id_line(now.stamp.id) + platform::come_back_line(after),
+                        .text = "not run: " + std::string(to_string(why)) + "\n"});
+}
+
+void entry::answer_failed(job& now, const std::string& why) {
+  const bool late = now.deadline - boot_now() < shortest_attempt;
+  const unsigned status = late ? status_timeout : status_bad_gateway;
+  record(now, "failed", status, why);
+  now.request->respond(
+      {.status = status, .lines = platform::id_line(now.stamp.id), .text = "may have run\n"});
+}
+
+void entry::record(const job& now, std::string_view outcome, unsigned status,
+                   std::string_view why) {
+  const auto moment = boot_now();
+  const auto took = moment - now.request->arrived;
+  metrics_
+      .make_counter({"masticshunt_requests_total",
+                     "Requests of callers by outcome",
+                     {{"service", now.service}, {"outcome", std::string(outcome)}}})
+      .add();
+  metrics_
+      .make_latency({"masticshunt_request_seconds",
+                     "Time from a request's head to its answer",
+                     {{"service", now.service}}})
+      .record(took);
+  const bool served = status >= 200 && status < 400;
+  const auto kind = served ? support::line_class::success : support::line_class::failure;
+  if (!log_.admits(kind, moment)) return;
+  std::string line = "request id=" + now.stamp.id;
+  line.append(" route=").append(now.route).append(" service=").append(now.service);
+  if (now.stamp.key) line.append(" key=").append(std::to_string(*now.stamp.key));
+  line.append(" outcome=").append(outcome).append(" status=").append(std::to_string(status));
+  line.append(" why=\"").append(why).append("\" agent=").append(now.agent);
+  line.append(" attempts=").append(std::to_string(now.attempts + 1));
+  line.append(" reached=").append(std::to_string(now.reached));
+  line.append(" took_ms=")
+      .append(std::to_string(std::chrono::duration_cast<milliseconds>(took).count()));
+  line.append(" left_ms=")
+      .append(
+          std::to_string(std::chrono::duration_cast<milliseconds>(now.deadline - moment).count()));
+  line.append(" state=").append(std::to_string(known_.routes().version()));
+  line.append(" map=").append(std::to_string(known_.map_revision(now.service)));
+  log_.write_admitted(line);
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/gate_service.cpp
@@ -0,0 +1,309 @@
+#include "fleet/internal/gate_service.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "masticshunt/support/clock.h"
+#include "platform/headers.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration key_wait_max = std::chrono::milliseconds{500};
+constexpr duration key_wait_step = std::chrono::milliseconds{15};
+constexpr double key_wait_share = 0.4;  // of the time left
+constexpr duration answer_grace = std::chrono::milliseconds{40};
+constexpr double service_time_step = 0.05;
+constexpr std::uint32_t queue_capacity = 1'024;
+// The first rank keeps most of the slots; the others keep a floor that grows with urgency.
+constexpr double floor_of_lower_ranks = 0.04;
+constexpr duration idle_limit_unstated = std::chrono::seconds{4};
+constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
+constexpr unsigned first_failure_status = 300;
+constexpr unsigned status_timeout = 408;
+constexpr unsigned status_wrong_place = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+requests::gate_settings gate_settings_for(std::uint32_t ranks, std::uint32_t slots) {
+  requests::gate_settings settings{.slots = slots,
+                                   .queue_capacity = queue_capacity,
+                                   .algorithm = requests::limit_algorithm::fixed};
+  for (std::uint32_t rank = 0; rank < std::max(1U, ranks); ++rank)
+    settings.ranks.push_back({.name = std::to_string(rank),
+                              .floor = rank == 0 ? 0 : floor_of_lower_ranks,
+                              .target = std::chrono::seconds{5}});
+  return settings;
+}
+
+std::string stated_id(const answer_head& head) {
+  return platform::read_answer(head.result_int(), head).id;
+}
+
+std::optional<duration> stated_idle_limit(const answer_head& head) {
+  const auto limit = platform::read_answer(head.result_int(), head).idle_limit;
+  if (!limit) return std::nullopt;
+  return std::max<duration>(*limit - idle_limit_margin, std::chrono::milliseconds{500});
+}
+
+bool promises_not_run(unsigned status) {
+  return status == status_timeout || status == status_wrong_place || status == status_too_many ||
+         status == status_unavailable;
+}
+
+}  // namespace
+
+gate_service::gate_service(asio::any_io_executor executor, gate_settings settings)
+    : executor_(executor),
+      settings_(std::move(settings)),
+      pool_(executor, {.idle_limit = idle_limit_unstated}),
+      gate_(gate_settings_for(1, 1)) {}
+
+void gate_service::upstream_is(std::optional<routing::upstream_life> life,
+                               const std::string& service, std::uint32_t slots) {
+  if (life != life_) {
+    pool_.forget(settings_.upstream);
+    connect_failures_ = 0;
+  }
+  life_ = std::move(life);
+  service_ = service;
+  if (slots == slots_) return;
+  slots_ = slots;
+  gate_.reconfigure(gate_settings_for(ranks_, slots_), boot_now());
+}
+
+void gate_service::set_ranks(std::uint32_t count) {
+  if (count == ranks_) return;
+  ranks_ = count;
+  gate_.reconfigure(gate_settings_for(ranks_, slots_), boot_now());
+}
+
+void gate_service::tick(time_point now) {
+  pool_.sweep(now);
+  if (gate_.waiting() + gate_.running() > 0) carry_out(gate_.tick(now));
+}
+
+routing::load_statement gate_service::load() const {
+  return {.running = static_cast<std::uint32_t>(gate_.running()),
+          .waiting = static_cast<std::uint32_t>(gate_.waiting()),
+          .slots = slots_,
+          .service_time = service_time_};
+}
+
+std::vector<claims::key_load> gate_service::key_loads(time_point now) {
+  std::vector<claims::key_range> ranges;
+  if (holder_ == nullptr) return {};
+  for (const auto& each : holder_->map().claims)
+    if (holder_->state_of(each.keys.first, now) == claims::hold_state::held)
+      ranges.push_back(each.keys);
+  return meter_.loads(ranges, service_time_, now);
+}
+
+std::optional<attempt_outcome> gate_service::closed_for(const attempt& what, time_point now) const {
+  if (!life_ || what.service != service_) return refused(refusal::no_upstream);
+  const bool leaves = leaving_since_ && now >= *leaving_since_ + settings_.drain / 2;
+  if (stopping_ || leaves) return refused(refusal::leaving);
+  return std::nullopt;
+}
+
+asio::awaitable<attempt_outcome> gate_service::serve(std::shared_ptr<attempt> what) {
+  ++counts_.offered;
+  auto closed = closed_for(*what, boot_now());
+  if (!closed && what->key && holder_ != nullptr) {
+    closed = co_await await_key(what);
+    if (!closed) {
+      meter_.arrived(*what->key, boot_now());
+      closed = closed_for(*what, boot_now());
+    }
+  }
+  if (closed) {
+    ++counts_.refused;
+    co_return std::move(*closed);
+  }
+  const auto number = next_number_++;
+  if (auto refusal = co_await await_turn(what, number)) {
+    ++counts_.refused;
+    co_return std::move(*refusal);
+  }
+  const auto began = boot_now();
+  auto outcome = co_await send(what);
+  const auto now = boot_now();
+  const bool ran = outcome.result == attempt_result::answered;
+  if (ran) learn(now - began);
+  const auto result = ran ? requests::attempt_result::answered
+                      : outcome.result == attempt_result::cancelled
+                          ? requests::attempt_result::cancelled
+                      : outcome.why == refusal::shed ? requests::attempt_result::shed
+                                                     : requests::attempt_result::error;
+  requests::gate_actions actions;
+  gate_.finished(number, result, now, actions);
+  carry_out(actions);
+  ++(ran                                         ? counts_.answered
+     : outcome.result == attempt_result::not_run ? counts_.refused
+                                                 : counts_.lost);
+  co_return outcome;
+}
+
+asio::awaitable<std::optional<attempt_outcome>> gate_service::await_key(
+    std::shared_ptr<attempt> what) {
+  const auto began = boot_now();
+  const auto share =
+      std::chrono::duration_cast<duration>((what->deadline - began) * key_wait_share);
+  const auto until = began + std::min(key_wait_max, share);
+  asio::steady_timer step(executor_);
+  for (;;) {
+    const auto now = boot_now();
+    const auto state = holder_->state_of(*what->key, now);
+    if (state == claims::hold_state::held) co_return std::nullopt;
+    const claims::claim* named = holder_->map().find(*what->key);
+    // An entry that routed by a newer map may know that the key is about to be granted here.
+    const bool newer_elsewhere = what->map_revision > holder_->map().revision;
+    if (state == claims::hold_state::not_ours && !newer_elsewhere) {
+      auto outcome = refused(refusal::not_owner);
+      if (named != nullptr) outcome.owner = owner_hint{*named, holder_->map().revision};
+      co_return outcome;
+    }
+    if (what->left->requested()) co_return attempt_outcome{.result = attempt_result::cancelled};
+    if (now >= until) co_return refused(refusal::owner_pending, std::chrono::milliseconds{100});
+    boost::system::error_code ignored;
+    step.expires_after(key_wait_step);
+    co_await step.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+asio::awaitable<std::optional<attempt_outcome>> gate_service::await_turn(
+    std::shared_ptr<attempt> what, requests::attempt_id number) {
+  const auto waits = std::make_shared<waiter>(executor_);
+  waiters_[number] = waits;
+  requests::gate_actions actions;
+  gate_.offer({.attempt = number,
+               .service = {},
+               .hash = number,
+               .caller = what->caller_service,
+               .rank = std::min(what->rank, std::max(1U, ranks_) - 1),
+               .idempotent = what->idempotent,
+               .deadline = what->deadline},
+              boot_now(), actions);
+  carry_out(actions);
+  if (!waits->started && !waits->refused) {
+    what->left->on_request([waits] {
+      waits->left = true;
+      waits->changed.cancel();
+    });
+    boost::system::error_code ignored;
+    waits->changed.expires_at(std::chrono::steady_clock::time_point::max());
+    co_await waits->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    what->left->clear();
+  }
+  waiters_.erase(number);
+  const auto now = boot_now();
+  if (waits->refused)
+    co_return refused(refusal::overloaded, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                               waits->refused->retry_after));
+  std::optional<attempt_outcome> closed;
+  if (waits->left || what->left->requested())
+    closed = attempt_outcome{.result = attempt_result::cancelled};
+  else if (waits->started)
+    closed = closed_for(*what, now);
+  if (!closed) co_return std::nullopt;
+  requests::gate_actions freed;
+  if (waits->started)
+    gate_.finished(number, requests::attempt_result::cancelled, now, freed);
+  else
+    gate_.abandoned(number, now, freed);
+  carry_out(freed);
+  co_return closed;
+}
+
+void gate_service::carry_out(const requests::gate_actions& actions) {
+  for (const auto& each : actions) {
+    if (const auto* start = std::get_if<requests::start_attempt>(&each)) {
+      if (const auto found = waiters_.find(start->attempt); found != waiters_.end()) {
+        found->second->started = true;
+        found->second->changed.cancel();
+      }
+    } else if (const auto* refuse = std::get_if<requests::refuse_attempt>(&each)) {
+      if (const auto found = waiters_.find(refuse->attempt); found != waiters_.end()) {
+        found->second->refused = *refuse;
+        found->second->changed.cancel();
+      }
+    }
+  }
+}
+
+asio::awaitable<attempt_outcome> gate_service::send(std::shared_ptr<attempt> what) {
+  const auto now = boot_now();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(what->deadline - now);
+  if (left < std::chrono::milliseconds{1}) co_return refused(refusal::overloaded);
+  if (leaving_since_ && now > *leaving_since_ + settings_.drain) ++counts_.late_after_leaving;
+  exchange_request request{.head = what->method + ' ' + what->target + " HTTP/1.1\r\n" +
+                                   what->lines +
+                                   platform::upstream_lines(left, life_->id, what->caller_service),
+                           .body = what->body,
+                           .is_head = what->method == "HEAD",
+                           .id = what->id,
+                           .id_of = &stated_id,
+                           .idle_limit_of = &stated_idle_limit,
+                           .deadline = what->deadline + answer_grace};
+  auto end = co_await run_exchange(pool_, settings_.upstream, std::move(request), *what->left);
+  connect_failures_ = end.result == exchange_result::not_connected ? connect_failures_ + 1 : 0;
+  co_return judge(*what, std::move(end));
+}
+
+attempt_outcome gate_service::judge(const attempt& what, exchange_end end) {
+  attempt_outcome outcome{.reached_upstream = end.result != exchange_result::not_connected,
+                          .detail = std::move(end.detail)};
+  switch (end.result) {
+    case exchange_result::not_connected:
+      outcome.result = attempt_result::not_run;
+      outcome.why = refusal::no_upstream;
+      return outcome;
+    case exchange_result::cancelled:
+      outcome.result = attempt_result::cancelled;
+      return outcome;
+    case exchange_result::broken:
+    case exchange_result::garbled:
+    case exchange_result::timed_out:
+      outcome.result = attempt_result::may_have_run;
+      return outcome;
+    case exchange_result::answered:
+      break;
+  }
+  const auto stamp = platform::read_answer(end.status, end.head);
+  if (stamp.not_run) {
+    outcome.result = attempt_result::not_run;
+    outcome.why = refusal::shed;
+    if (end.status == status_wrong_place && what.key) {
+      outcome.why = refusal::owner_pending;
+      if (on_missing_key_) on_missing_key_(*what.key);
+    }
+    return outcome;
+  }
+  const bool untrustworthy =
+      stamp.encoded ||
+      (!stamp.is_signed && (end.status < first_failure_status || promises_not_run(end.status)));
+  if (untrustworthy || (end.body && end.body->failed())) {
+    outcome.result = attempt_result::may_have_run;
+    outcome.detail = "answer without signature or not the upstream's own body";
+    return outcome;
+  }
+  outcome.result = attempt_result::answered;
+  outcome.status = end.status;
+  outcome.lines = lines_towards_caller(end.head);
+  outcome.body = std::move(end.body);
+  return outcome;
+}
+
+void gate_service::learn(duration took) {
+  if (service_time_ == duration{}) {
+    service_time_ = took;
+    return;
+  }
+  service_time_ += std::chrono::duration_cast<duration>((took - service_time_) * service_time_step);
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/gate_service.h
@@ -0,0 +1,121 @@
+/// @file
+/// The gate beside an upstream: the only way to it.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fleet/internal/attempt.h"
+#include "fleet/internal/http_client.h"
+#include "fleet/internal/key_meter.h"
+#include "masticshunt/decisions/claims/claim_holder.h"
+#include "masticshunt/decisions/requests/gate.h"
+
+namespace masticshunt::fleet {
+
+/// What the gate needs to know of its upstream's place.
+struct gate_settings {
+  endpoint upstream;
+  duration drain = std::chrono::seconds{2};  ///< After the word that it leaves.
+};
+
+/// Counts of a gate.
+struct gate_counts {
+  std::uint64_t offered = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t lost = 0;                ///< Sent, and no whole answer came.
+  std::uint64_t late_after_leaving = 0;  ///< Broken promise: sent after the drain time.
+};
+
+/// Admits requests to the upstream beside this agent, in the order of their ranks, and only while
+/// the upstream is there, stays, and holds the request's key.
+///
+/// As nothing else reaches the upstream, what this class refuses has truthfully not run.
+/// Life cycle: one for the process. Thread safety: none.
+class gate_service {
+ public:
+  gate_service(boost::asio::any_io_executor executor, gate_settings settings);
+
+  /// Has `what` run by the upstream, or refuses it.
+  boost::asio::awaitable<attempt_outcome> serve(std::shared_ptr<attempt> what);
+
+  /// The upstream beside this agent is there with `life` and `slots`, or is not (nothing).
+  void upstream_is(std::optional<routing::upstream_life> life, const std::string& service,
+                   std::uint32_t slots);
+  /// The upstream said at `when` that it leaves, or turned out to stay (nothing).
+  void upstream_leaves(std::optional<time_point> when) { leaving_since_ = when; }
+  /// This agent takes nothing new for its upstream.
+  void stop() { stopping_ = true; }
+  /// Sets the ranks that the desired state knows.
+  void set_ranks(std::uint32_t count);
+  /// Sets the owner's side of claims; null if the service is not divided by key.
+  void set_holder(claims::claim_holder* holder) { holder_ = holder; }
+  /// Sets who is told that the upstream lacks a key that it should hold.
+  void on_missing_key(std::function<void(claims::shard_key)> action) {
+    on_missing_key_ = std::move(action);
+  }
+  /// Lets time act on what waits.
+  void tick(time_point now);
+
+  /// Returns the load as peers are told of it.
+  [[nodiscard]] routing::load_statement load() const;
+  /// Returns the loads by stretch of keys.
+  [[nodiscard]] std::vector<claims::key_load> key_loads(time_point now);
+  [[nodiscard]] duration service_time() const { return service_time_; }
+  [[nodiscard]] std::size_t in_flight() const { return gate_.running() + gate_.waiting(); }
+  [[nodiscard]] const gate_counts& counts() const { return counts_; }
+  /// Returns the connections to the upstream, for calls besides requests.
+  [[nodiscard]] connection_pool& pool() { return pool_; }
+  [[nodiscard]] const endpoint& upstream() const { return settings_.upstream; }
+  /// Returns how many connections in a row could not be opened.
+  [[nodiscard]] std::uint32_t connect_failures() const { return connect_failures_; }
+  /// Forgets connections that could not be opened.
+  void forgive() { connect_failures_ = 0; }
+
+ private:
+  struct waiter {
+    explicit waiter(boost::asio::any_io_executor executor) : changed(std::move(executor)) {}
+    boost::asio::steady_timer changed;
+    bool started = false;
+    std::optional<requests::refuse_attempt> refused;
+    bool left = false;
+  };
+
+  boost::asio::awaitable<std::optional<attempt_outcome>> await_key(std::shared_ptr<attempt> what);
+  boost::asio::awaitable<std::optional<attempt_outcome>> await_turn(std::shared_ptr<attempt> what,
+                                                                    requests::attempt_id number);
+  boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> what);
+  attempt_outcome judge(const attempt& what, exchange_end end);
+  [[nodiscard]] std::optional<attempt_outcome> closed_for(const attempt& what,
+                                                          time_point now) const;
+  void carry_out(const requests::gate_actions& actions);
+  void learn(duration took);
+
+  boost::asio::any_io_executor executor_;
+  gate_settings settings_;
+  connection_pool pool_;
+  requests::gate gate_;
+  std::uint32_t ranks_ = 0;
+  std::uint32_t slots_ = 1;
+  std::map<requests::attempt_id, std::shared_ptr<waiter>> waiters_;
+  requests::attempt_id next_number_ = 1;
+
+  std::optional<routing::upstream_life> life_;
+  std::string service_;
+  std::optional<time_point> leaving_since_;
+  bool stopping_ = false;
+  claims::claim_holder* holder_ = nullptr;
+  key_meter meter_;
+  std::function<void(claims::shard_key)> on_missing_key_;
+  duration service_time_{};
+  std::uint32_t connect_failures_ = 0;
+  gate_counts counts_;
+};
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/http_client.cpp
@@ -0,0 +1,339 @@
+#include "fleet/internal/http_client.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+
+#include "masticshunt/support/clock.h"
+#include "masticshunt/support/socket_options.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t small_body = 64 * 1024;
+constexpr std::uint32_t header_bytes_max = 64 * 1024;
+constexpr std::uint64_t answer_bytes_max = std::uint64_t{1} << 32U;
+constexpr duration body_progress_timeout = std::chrono::seconds{20};
+constexpr int stray_answers_max = 2;
+
+using answer_parser = http::response_parser<pipe_body>;
+
+/// Returns false if the other side has closed the connection or sent bytes unasked.
+bool is_quiet(tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// Closes the connection at the deadline unless it is moved or dropped before.
+class watchdog {
+ public:
+  watchdog(client_connection& connection, time_point deadline)
+      : connection_(connection), timer_(connection.socket.get_executor()) {
+    move(deadline);
+  }
+  void move(time_point deadline) {
+    timer_.expires_after(std::max(duration{}, deadline - boot_now()));
+    timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](const error_code& error) {
+      if (error || alive.expired()) return;
+      expired_ = true;
+      error_code ignored;
+      connection_.socket.close(ignored);
+    });
+  }
+  [[nodiscard]] bool expired() const { return expired_; }
+
+ private:
+  client_connection& connection_;
+  asio::steady_timer timer_;
+  bool expired_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+asio::awaitable<bool> fill(client_connection& connection, error_code& error) {
+  const auto got = co_await connection.socket.async_read_some(
+      connection.buffer.prepare(read_size), asio::redirect_error(asio::use_awaitable, error));
+  connection.buffer.commit(got);
+  co_return !error;
+}
+
+std::string framing_lines(const std::shared_ptr<body_pipe>& body) {
+  if (!body) return "\r\n";
+  if (const auto length = body->length())
+    return *length == 0 && body->whole()
+               ? "Content-Length: 0\r\n\r\n"
+               : "Content-Length: " + std::to_string(*length) + "\r\n\r\n";
+  return "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// Sends what remains of a body. The connection is closed if that fails.
+asio::awaitable<void> send_body(connection_ptr connection, std::shared_ptr<body_pipe> body,
+                                std::shared_ptr<bool> sent) {
+  error_code error;
+  if (body->whole()) {
+    co_await asio::async_write(connection->socket, asio::buffer(body->held()),
+                               asio::redirect_error(asio::use_awaitable, error));
+    *sent = !error;
+    co_return;
+  }
+  const bool chunked = !body->length();
+  asio::steady_timer changed(connection->socket.get_executor());
+  body->on_change([&changed] { changed.cancel(); });
+  while (!error && connection->socket.is_open()) {
+    std::string bytes = body->take();
+    if (bytes.empty() && !body->complete()) {
+      if (body->failed()) {
+        connection->socket.close(error);
+        break;
+      }
+      error_code ignored;
+      changed.expires_at(std::chrono::steady_clock::time_point::max());
+      co_await changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      continue;
+    }
+    if (chunked && !bytes.empty()) {
+      char size[24]{};
+      std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+      bytes = size + bytes + "\r\n";
+    }
+    const bool last = body->complete();
+    if (last && chunked) bytes += "0\r\n\r\n";
+    co_await asio::async_write(connection->socket, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (last) {
+      *sent = !error;
+      break;
+    }
+  }
+  body->on_change(nullptr);
+}
+
+/// Receives what remains of a large answer, which is passed on meanwhile.
+asio::awaitable<void> pump_answer(connection_pool& pool, connection_ptr connection,
+                                  std::shared_ptr<answer_parser> parser,
+                                  std::shared_ptr<body_pipe> body, std::shared_ptr<bool> sent) {
+  watchdog dog(*connection, boot_now() + body_progress_timeout);
+  asio::steady_timer room(connection->socket.get_executor());
+  body->on_room([&room] { room.cancel(); });
+  while (!parser->is_done()) {
+    if (body->full()) {
+      error_code ignored;
+      room.expires_after(body_progress_timeout);
+      co_await room.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      if (body->full()) break;
+    }
+    dog.move(boot_now() + body_progress_timeout);
+    error_code error;
+    if (connection->buffer.size() == 0) co_await fill(*connection, error);
+    if (error == asio::error::eof && parser->need_eof()) {
+      error = {};
+      parser->put_eof(error);
+      break;
+    }
+    if (!error) connection->buffer.consume(parser->put(connection->buffer.data(), error));
+    if (error && error != http::error::need_more) break;
+  }
+  body->on_room(nullptr);
+  if (!parser->is_done()) {
+    body->fail();
+    co_return;
+  }
+  if (parser->keep_alive() && *sent && connection->buffer.size() == 0) pool.release(connection);
+}
+
+}  // namespace
+
+connection_ptr connection_pool::take_idle(const endpoint& to) {
+  const auto found = idle_.find(to);
+  if (found == idle_.end()) return nullptr;
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    connection_ptr connection = std::move(idle.back());
+    idle.pop_back();
+    const bool fresh = boot_now() - connection->idle_since < connection->idle_limit;
+    if (fresh && is_quiet(connection->socket)) return connection;
+  }
+  return nullptr;
+}
+
+asio::awaitable<connection_ptr> connection_pool::acquire(endpoint to, time_point deadline,
+                                                         cancellation& left) {
+  if (auto idle = take_idle(to)) co_return idle;
+  auto connection = std::make_shared<client_connection>(executor_);
+  connection->to = to;
+  connection->idle_limit = limits_.idle_limit;
+  error_code error;
+  const auto place = tcp_endpoint(to, error);
+  if (error) co_return nullptr;
+  left.on_request([connection] {
+    error_code ignored;
+    connection->socket.close(ignored);
+  });
+  {
+    watchdog dog(*connection, std::min(deadline, boot_now() + limits_.connect_timeout));
+    co_await connection->socket.async_connect(place,
+                                              asio::redirect_error(asio::use_awaitable, error));
+  }
+  left.clear();
+  if (error || !connection->socket.is_open()) co_return nullptr;
+  ++opened_;
+  connection->socket.non_blocking(true, error);
+  support::bound_silence(connection->socket,
+                         {.user_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              limits_.user_timeout)});
+  co_return connection;
+}
+
+void connection_pool::release(connection_ptr connection) {
+  if (!connection->socket.is_open()) return;
+  auto& idle = idle_[connection->to];
+  if (idle.size() >= limits_.idle_max) return;
+  connection->idle_since = boot_now();
+  ++connection->uses;
+  idle.push_back(std::move(connection));
+}
+
+void connection_pool::sweep(time_point now) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [now](const connection_ptr& each) {
+      return now - each->idle_since >= each->idle_limit;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+asio::awaitable<exchange_end> run_exchange(connection_pool& pool, endpoint to,
+                                           exchange_request request, cancellation& left) {
+  exchange_end end;
+  if (left.requested()) {
+    end.result = exchange_result::cancelled;
+    co_return end;
+  }
+  connection_ptr connection = co_await pool.acquire(std::move(to), request.deadline, left);
+  if (!connection) {
+    end.result = left.requested() ? exchange_result::cancelled : exchange_result::not_connected;
+    co_return end;
+  }
+  end.reused = connection->uses > 0;
+  left.on_request([connection] {
+    error_code ignored;
+    connection->socket.close(ignored);
+  });
+  watchdog dog(*connection, request.deadline);
+  const auto failed = [&](exchange_result result, std::string detail) {
+    end.result = left.requested() ? exchange_result::cancelled
+                 : dog.expired()  ? exchange_result::timed_out
+                                  : result;
+    end.detail = std::move(detail);
+    left.clear();
+    error_code ignored;
+    connection->socket.close(ignored);
+  };
+
+  std::string bytes = std::move(request.head) + framing_lines(request.body);
+  const auto sent = std::make_shared<bool>(true);
+  const bool body_follows =
+      request.body && !(request.body->whole() && request.body->held().size() <= small_body);
+  if (request.body && !body_follows) bytes += request.body->held();
+  error_code error;
+  std::size_t written = connection->socket.write_some(asio::buffer(bytes), error);
+  if (error == asio::error::would_block) {
+    error = {};
+    written = 0;
+  }
+  if (!error && written < bytes.size()) {
+    co_await asio::async_write(connection->socket, asio::buffer(bytes) + written,
+                               asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error) {
+    failed(exchange_result::broken, "send: " + error.message());
+    co_return end;
+  }
+  if (body_follows) {
+    *sent = false;
+    asio::co_spawn(connection->socket.get_executor(), send_body(connection, request.body, sent),
+                   asio::detached);
+  }
+
+  for (int strays = 0;; ++strays) {
+    auto parser = std::make_shared<answer_parser>();
+    parser->eager(true);
+    parser->header_limit(header_bytes_max);
+    parser->body_limit(answer_bytes_max);
+    parser->skip(request.is_head);
+    const auto body_of = [&parser] { return parser->get().body(); };
+    while (!parser->is_done()) {
+      if (connection->buffer.size() == 0 && !co_await fill(*connection, error)) {
+        if (error == asio::error::eof && parser->is_header_done() && parser->need_eof()) {
+          error = {};
+          parser->put_eof(error);
+          break;
+        }
+        failed(exchange_result::broken, "receive: " + error.message());
+        co_return end;
+      }
+      connection->buffer.consume(parser->put(connection->buffer.data(), error));
+      if (error && error != http::error::need_more) {
+        failed(exchange_result::garbled, "answer: " + error.message());
+        co_return end;
+      }
+      if (error == http::error::need_more && connection->buffer.size() > 0 &&
+          !co_await fill(*connection, error)) {
+        failed(exchange_result::broken, "receive: " + error.message());
+        co_return end;
+      }
+      if (parser->is_header_done() && body_of() && body_of()->ready()) break;
+    }
+    constexpr unsigned first_final_status = 200;
+    end.status = parser->get().result_int();
+    const bool interim = end.status < first_final_status;
+    if (parser->is_done() && (interim || (request.id_of != nullptr && !request.id.empty()))) {
+      const std::string id = interim ? std::string{} : request.id_of(parser->get().base());
+      if (interim || (!id.empty() && id != request.id)) {
+        if (strays < stray_answers_max) continue;
+        failed(exchange_result::garbled, "answers of other requests");
+        co_return end;
+      }
+    }
+    end.result = exchange_result::answered;
+    end.body = body_of() ? body_of() : std::make_shared<body_pipe>();
+    const bool done = parser->is_done();
+    if (done && !end.body->complete()) end.body->finish();
+    end.head = parser->get().base();
+    if (request.idle_limit_of != nullptr) {
+      if (const auto limit = request.idle_limit_of(end.head)) connection->idle_limit = *limit;
+    }
+    left.clear();
+    if (done) {
+      // Bytes behind the answer belong to no request: the connection is not used again.
+      const bool sound = parser->keep_alive() && *sent && connection->buffer.size() == 0 &&
+                         strays == 0 && connection->socket.is_open();
+      if (sound) pool.release(connection);
+      co_return end;
+    }
+    left.on_request([connection] {
+      error_code ignored;
+      connection->socket.close(ignored);
+    });
+    asio::co_spawn(connection->socket.get_executor(),
+                   pump_answer(pool, connection, parser, end.body, sent), asio::detached);
+    co_return end;
+  }
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/http_server.cpp
@@ -0,0 +1,439 @@
+#include "fleet/internal/http_server.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <deque>
+#include <optional>
+
+#include "masticshunt/support/clock.h"
+#include "masticshunt/support/socket_options.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t read_size = 16 * 1024;
+constexpr duration linger_after_close = std::chrono::seconds{1};
+constexpr unsigned bad_request_status = 400;
+constexpr unsigned too_large_status = 413;
+constexpr unsigned header_too_large_status = 431;
+
+void append_number(std::string& to, std::uint64_t value, int base = 10) {
+  std::array<char, 24> text{};
+  const auto end = std::to_chars(text.data(), text.data() + text.size(), value, base).ptr;
+  to.append(text.data(), end);
+}
+
+std::string reason_of(unsigned status) {
+  const auto text = http::obsolete_reason(static_cast<http::status>(status));
+  return {text.data(), text.size()};
+}
+
+bool has_no_body(unsigned status) {
+  constexpr unsigned no_content = 204;
+  constexpr unsigned not_modified = 304;
+  return status == no_content || status == not_modified;
+}
+
+}  // namespace
+
+/// One connection.
+class server_session : public std::enable_shared_from_this<server_session> {
+ public:
+  server_session(http_server& server, tcp::socket socket)
+      : server_(&server), socket_(std::move(socket)), room_(socket_.get_executor()) {
+    error_code ignored;
+    const auto peer = socket_.remote_endpoint(ignored);
+    if (!ignored) sender_ = peer.address().to_string();
+    socket_.non_blocking(true, ignored);
+    support::bound_silence(socket_,
+                           {.user_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                server.limits().user_timeout)});
+    quiet_since_ = boot_now();
+  }
+
+  void start() {
+    asio::co_spawn(
+        socket_.get_executor(), [self = shared_from_this()] { return self->read_requests(); },
+        asio::detached);
+  }
+
+  void sweep(time_point now) {
+    const auto& limits = server_->limits();
+    const bool late_header = header_since_ && now - *header_since_ > limits.header_timeout;
+    const bool idle = pending_.empty() && !header_since_ && !body_in_progress_ &&
+                      now - quiet_since_ > limits.idle_timeout;
+    const bool lingers = shut_ && now - *shut_ > linger_after_close;
+    if (late_header || idle || lingers) drop();
+  }
+
+  void close_if_idle() {
+    if (pending_.empty() && !header_since_ && !body_in_progress_) shut();
+  }
+
+  void orphan() {
+    server_ = nullptr;
+    drop();
+  }
+
+ private:
+  using request_parser = http::request_parser<pipe_body>;
+
+  asio::awaitable<void> read_requests() {
+    const auto self = shared_from_this();
+    while (server_ != nullptr && !read_closed_) {
+      if (!co_await read_one()) break;
+    }
+    // Wait for the other side's end, so that its departure is noticed and nothing is reset.
+    while (server_ != nullptr && socket_.is_open()) {
+      if (!co_await fill()) break;
+      buffer_.consume(buffer_.size());
+    }
+    leave();
+  }
+
+  asio::awaitable<bool> read_one() {
+    request_parser parser;
+    parser.eager(true);
+    parser.header_limit(server_->limits().header_bytes);
+    parser.body_limit(server_->limits().body_bytes);
+    std::shared_ptr<server_request> request;
+    for (;;) {
+      if (buffer_.size() > 0) {
+        if (!request && !header_since_) header_since_ = boot_now();
+        error_code error;
+        buffer_.consume(parser.put(buffer_.data(), error));
+        if (error && error != http::error::need_more) {
+          co_return refuse(error, request);
+        }
+        if (parser.is_header_done() && !request) request = announce(parser);
+        if (parser.is_done()) break;
+      }
+      if (request && request->body->full()) co_await wait_for_room(*request->body);
+      if (!co_await fill()) {
+        if (request) request->body->fail();
+        co_return false;
+      }
+    }
+    body_in_progress_ = false;
+    while (pending_.size() >= server_->limits().pipelined_max && socket_.is_open()) {
+      error_code ignored;
+      room_.expires_at(std::chrono::steady_clock::time_point::max());
+      co_await room_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      if (server_ == nullptr) co_return false;
+    }
+    co_return socket_.is_open();
+  }
+
+  asio::awaitable<void> wait_for_room(body_pipe& body) {
+    body.on_room([self = weak_from_this()] {
+      if (const auto alive = self.lock()) alive->room_.cancel();
+    });
+    while (body.full() && socket_.is_open()) {
+      error_code ignored;
+      room_.expires_at(std::chrono::steady_clock::time_point::max());
+      co_await room_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+
+  asio::awaitable<bool> fill() {
+    error_code error;
+    const auto got = co_await socket_.async_read_some(
+        buffer_.prepare(read_size), asio::redirect_error(asio::use_awaitable, error));
+    buffer_.commit(got);
+    co_return !error;
+  }
+
+  std::shared_ptr<server_request> announce(request_parser& parser) {
+    header_since_.reset();
+    auto request = std::make_shared<server_request>();
+    request->arrived = boot_now();
+    request->keep_alive_ = parser.get().keep_alive();
+    request->http_1_0_ = parser.get().version() < 11;
+    request->is_head_ = parser.get().method() == http::verb::head;
+    const bool continues = boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
+    request->head = std::move(parser.get().base());
+    request->body = parser.get().body();
+    if (!request->body) request->body = std::make_shared<body_pipe>();
+    if (parser.is_done() && !request->body->complete()) request->body->finish();
+    request->sender = sender_;
+    request->on_answer_ = [self = weak_from_this()] {
+      if (const auto alive = self.lock()) alive->flush();
+    };
+    if (!request->keep_alive_) read_closed_ = true;
+    body_in_progress_ = !parser.is_done();
+    if (continues && pending_.empty() && body_in_progress_) {
+      out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+      flush();
+    }
+    pending_.push_back(request);
+    ++server_->open_requests_;
+    server_->handler_(request);
+    return request;
+  }
+
+  bool refuse(const error_code& error, const std::shared_ptr<server_request>& request) {
+    read_closed_ = true;
+    if (request) {
+      request->body->fail();
+      return false;
+    }
+    auto bad = std::make_shared<server_request>();
+    bad->keep_alive_ = false;
+    pending_.push_back(bad);
+    ++server_->open_requests_;
+    unsigned status = bad_request_status;
+    if (error == http::error::header_limit) status = header_too_large_status;
+    if (error == http::error::body_limit) status = too_large_status;
+    bad->respond({.status = status, .close = true});
+    flush();
+    return false;
+  }
+
+  void flush() {
+    if (writing_ || server_ == nullptr) return;
+    while (!pending_.empty() && pending_.front()->answered_) {
+      server_request& front = *pending_.front();
+      if (front.answer_.abort) return drop();
+      if (!front.begun_ && !begin(front)) break;
+      if (!pass_body(front)) break;
+      finish_front();
+      if (shut_after_write_) break;
+    }
+    write_out();
+  }
+
+  /// Adds the head of the answer. Returns false while the body is not ready to be passed on.
+  bool begin(server_request& front) {
+    server_answer& answer = front.answer_;
+    if (answer.body) {
+      if (!answer.body->ready() || (front.http_1_0_ && !answer.body->complete())) {
+        answer.body->on_change([self = weak_from_this()] {
+          if (const auto alive = self.lock()) alive->flush();
+        });
+        return false;
+      }
+      if (answer.body->failed()) {
+        drop();
+        return false;
+      }
+    }
+    front.begun_ = true;
+    out_ += "HTTP/1.1 ";
+    append_number(out_, answer.status);
+    out_ += ' ';
+    out_ += reason_of(answer.status);
+    out_ += "\r\n";
+    out_ += answer.lines;
+    const auto length =
+        answer.body ? answer.body->length() : std::optional<std::uint64_t>{answer.text.size()};
+    if (!has_no_body(answer.status)) {
+      if (length) {
+        out_ += "Content-Length: ";
+        append_number(out_, *length);
+        out_ += "\r\n";
+      } else {
+        front.chunked_ = true;
+        out_ += "Transfer-Encoding: chunked\r\n";
+      }
+    }
+    if (answer.close || server_->closing()) front.keep_alive_ = false;
+    if (!front.keep_alive_) {
+      out_ += "Connection: close\r\n";
+    } else if (front.http_1_0_) {
+      out_ += "Connection: keep-alive\r\n";
+    }
+    out_ += "\r\n";
+    return true;
+  }
+
+  /// Adds what is there of the body. Returns true once it is passed on whole.
+  bool pass_body(server_request& front) {
+    server_answer& answer = front.answer_;
+    const bool bare = front.is_head_ || has_no_body(answer.status);
+    if (!answer.body) {
+      if (!bare) out_ += answer.text;
+      return true;
+    }
+    body_pipe& body = *answer.body;
+    if (body.whole() && !front.chunked_) {
+      if (!bare) out_ += body.held();
+      return true;
+    }
+    const std::string bytes = body.take();
+    if (!bare && !bytes.empty()) {
+      if (front.chunked_) {
+        append_number(out_, bytes.size(), 16);
+        out_ += "\r\n";
+      }
+      out_ += bytes;
+      if (front.chunked_) out_ += "\r\n";
+    }
+    if (body.complete()) {
+      if (front.chunked_ && !bare) out_ += "0\r\n\r\n";
+      return true;
+    }
+    if (body.failed()) {
+      drop();
+      return false;
+    }
+    body.on_change([self = weak_from_this()] {
+      if (const auto alive = self.lock()) alive->flush();
+    });
+    return false;
+  }
+
+  void finish_front() {
+    if (!pending_.front()->keep_alive_) shut_after_write_ = true;
+    if (pending_.front()->answer_.body) pending_.front()->answer_.body->on_change(nullptr);
+    pending_.pop_front();
+    --server_->open_requests_;
+    quiet_since_ = boot_now();
+    room_.cancel();
+  }
+
+  void write_out() {
+    if (out_.empty()) {
+      if (shut_after_write_) shut();
+      return;
+    }
+    error_code error;
+    const auto sent = socket_.write_some(asio::buffer(out_), error);
+    if (error && error != asio::error::would_block) return drop();
+    if (!error && sent == out_.size()) {
+      out_.clear();
+      if (shut_after_write_) shut();
+      return;
+    }
+    writing_ = true;
+    auto rest = std::make_shared<std::string>(out_.substr(error ? 0 : sent));
+    out_.clear();
+    asio::async_write(socket_, asio::buffer(*rest),
+                      [self = shared_from_this(), rest](const error_code& failed, std::size_t) {
+                        self->writing_ = false;
+                        if (failed) return self->drop();
+                        self->flush();
+                      });
+  }
+
+  void shut() {
+    if (shut_) return;
+    shut_ = boot_now();
+    read_closed_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    abandon_pending();
+  }
+
+  void drop() {
+    error_code ignored;
+    socket_.close(ignored);
+    room_.cancel();
+    abandon_pending();
+  }
+
+  void abandon_pending() {
+    auto abandoned = std::exchange(pending_, {});
+    if (server_ != nullptr) server_->open_requests_ -= abandoned.size();
+    for (const auto& each : abandoned) {
+      each->on_answer_ = nullptr;
+      if (each->answer_.body) each->answer_.body->on_change(nullptr);
+      each->body->fail();
+      each->left.request();
+    }
+  }
+
+  void leave() {
+    drop();
+    if (server_ != nullptr) server_->sessions_.erase(shared_from_this());
+    server_ = nullptr;
+  }
+
+  http_server* server_;
+  tcp::socket socket_;
+  asio::steady_timer room_;
+  boost::beast::flat_buffer buffer_;
+  std::string sender_;
+  std::deque<std::shared_ptr<server_request>> pending_;
+  std::string out_;
+  bool writing_ = false;
+  bool read_closed_ = false;
+  bool body_in_progress_ = false;
+  bool shut_after_write_ = false;
+  std::optional<time_point> shut_;
+  std::optional<time_point> header_since_;
+  time_point quiet_since_;
+};
+
+http_server::http_server(asio::any_io_executor executor, request_handler handler)
+    : executor_(std::move(executor)), handler_(std::move(handler)), acceptor_(executor_) {}
+
+http_server::~http_server() {
+  for (const auto& each : std::exchange(sessions_, {})) each->orphan();
+}
+
+std::string http_server::start(const endpoint& address) {
+  error_code error;
+  const auto place = tcp_endpoint(address, error);
+  if (!error) acceptor_.open(place.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(place, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return "cannot listen at " + address + ": " + error.message();
+  accept_next();
+  return {};
+}
+
+void http_server::accept_next() {
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!error) {
+      auto session = std::make_shared<server_session>(*this, std::move(socket));
+      sessions_.insert(session);
+      session->start();
+    }
+    accept_next();
+  });
+}
+
+void http_server::stop_accepting() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void http_server::close_gently() {
+  closing_ = true;
+  const auto copy = sessions_;
+  for (const auto& each : copy) each->close_if_idle();
+}
+
+void http_server::sweep(time_point now) {
+  const auto copy = sessions_;
+  for (const auto& each : copy) each->sweep(now);
+}
+
+tcp::endpoint tcp_endpoint(const endpoint& text, error_code& error) {
+  const auto colon = text.rfind(':');
+  unsigned port = 0;
+  if (colon != std::string::npos)
+    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  const auto ip = asio::ip::make_address(text.substr(0, colon), error);
+  if (!error && (port == 0 || port > 65'535)) error = asio::error::invalid_argument;
+  return {ip, static_cast<std::uint16_t>(port)};
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/key_meter.cpp
@@ -0,0 +1,67 @@
+#include "fleet/internal/key_meter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace masticshunt::fleet {
+
+namespace {
+
+constexpr duration half_life = std::chrono::milliseconds{900};
+constexpr duration decay_interval = std::chrono::milliseconds{100};
+constexpr double forgotten_below = 0.02;
+constexpr double stretches = 20;
+
+}  // namespace
+
+void key_meter::decay(time_point now) {
+  if (now - decayed_ < decay_interval) return;
+  const double factor = std::exp2(-std::chrono::duration<double>(now - decayed_).count() /
+                                  std::chrono::duration<double>(half_life).count());
+  decayed_ = now;
+  for (auto it = counts_.begin(); it != counts_.end();) {
+    it->second *= factor;
+    it = it->second < forgotten_below ? counts_.erase(it) : std::next(it);
+  }
+}
+
+void key_meter::arrived(claims::shard_key key, time_point now) {
+  decay(now);
+  counts_[key] += 1;
+}
+
+std::vector<claims::key_load> key_meter::loads(const std::vector<claims::key_range>& ranges,
+                                               duration service_time, time_point now) {
+  decay(now);
+  // A steady rate r settles at a decayed count of r * half_life / ln 2.
+  const double rate_of_count = std::log(2.0) / std::chrono::duration<double>(half_life).count();
+  const double slots_of_count = rate_of_count * std::chrono::duration<double>(service_time).count();
+  const double total =
+      std::accumulate(counts_.begin(), counts_.end(), 0.0,
+                      [](double sum, const auto& entry) { return sum + entry.second; });
+  const double wanted = total / stretches;
+  std::vector<claims::key_load> result;
+  for (const auto& range : ranges) {
+    double sum = 0;
+    claims::shard_key first = range.first;
+    for (auto it = counts_.lower_bound(range.first); it != counts_.end() && it->first <= range.last;
+         ++it) {
+      if (sum == 0) first = it->first;
+      // A key that alone reaches the wanted load gets a stretch of its own.
+      if (sum > 0 && it->second >= wanted) {
+        result.push_back({{first, it->first - 1}, sum * slots_of_count});
+        sum = 0;
+        first = it->first;
+      }
+      sum += it->second;
+      if (sum < wanted) continue;
+      result.push_back({{first, it->first}, sum * slots_of_count});
+      sum = 0;
+    }
+    if (sum > 0) result.push_back({{first, range.last}, sum * slots_of_count});
+  }
+  return result;
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/peer_side.cpp
@@ -0,0 +1,227 @@
+#include "fleet/internal/peer_side.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "masticshunt/support/clock.h"
+#include "platform/headers.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration answer_grace = std::chrono::milliseconds{60};
+constexpr duration fetch_timeout = std::chrono::seconds{1};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+std::string text_of(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+peer_side::peer_side(asio::any_io_executor executor, const fleet_settings& settings,
+                     knowledge& known, gate_service& gate, claims_driver& claims,
+                     connection_pool& peers, support::event_log& log)
+    : executor_(std::move(executor)),
+      settings_(settings),
+      known_(known),
+      gate_(gate),
+      claims_(claims),
+      peers_(peers),
+      log_(log) {}
+
+void peer_side::handle(std::shared_ptr<server_request> request) {
+  auto what = std::make_shared<attempt>();
+  const auto left = read_hop(request->head, *what);
+  if (!left) {
+    asio::co_spawn(executor_, serve_call(std::move(request)), asio::detached);
+    return;
+  }
+  what->id = platform::read_stamp(request->head).id;
+  what->method = text_of(request->head.method_string());
+  what->target = text_of(request->head.target());
+  what->lines = lines_towards_upstream(request->head);
+  what->deadline = request->arrived + *left;
+  what->left = &request->left;
+  what->body = body_of(*request);
+  note_versions(request->sender + ":" + std::to_string(settings_.peer_port), what->service,
+                what->state_version, what->map_revision);
+  asio::co_spawn(executor_, serve(std::move(request), std::move(what)), asio::detached);
+}
+
+asio::awaitable<void> peer_side::serve(std::shared_ptr<server_request> request,
+                                       std::shared_ptr<attempt> what) {
+  auto outcome = co_await gate_.serve(what);
+  if (outcome.result == attempt_result::cancelled) {
+    request->respond({.abort = true});
+    co_return;
+  }
+  std::string lines = load_line(gate_.load());
+  lines += version_line(known_.routes().version(), known_.map_revision(what->service));
+  if (outcome.result == attempt_result::answered) {
+    request->respond(
+        {.status = outcome.status, .lines = lines + outcome.lines, .body = outcome.body});
+    co_return;
+  }
+  const auto now = boot_now();
+  if (log_.admits(support::line_class::failure, now)) {
+    log_.write_admitted("gate_refused id=" + what->id + " service=" + what->service +
+                        " result=" + std::string(to_string(outcome.result)) +
+                        " why=" + std::string(to_string(outcome.why)) +
+                        " reached=" + (outcome.reached_upstream ? "yes" : "no") +
+                        " running=" + std::to_string(gate_.load().running) +
+                        " waiting=" + std::to_string(gate_.load().waiting) + " detail=\"" +
+                        outcome.detail + "\"");
+  }
+  request->respond({.status = status_unavailable, .lines = lines + refusal_line(outcome)});
+}
+
+asio::awaitable<void> peer_side::serve_call(std::shared_ptr<server_request> request) {
+  asio::steady_timer pause(executor_);
+  while (!request->body->complete() && !request->body->failed()) {
+    boost::system::error_code ignored;
+    pause.expires_after(std::chrono::milliseconds{2});
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  const std::string target = text_of(request->head.target());
+  const std::string& body = request->body->held();
+  failure reason;
+  if (target == report_path) {
+    const auto report = claims::report_from_cbor_bytes(body, reason);
+    if (!report) {
+      request->respond({.status = status_bad_request, .text = reason.describe() + "\n"});
+      co_return;
+    }
+    request->respond({.text = claims::to_cbor_bytes(claims_.report_received(*report, boot_now()))});
+  } else if (target == state_path) {
+    request->respond({.text = state_document()});
+  } else if (target.starts_with(map_path)) {
+    const std::string service = target.substr(map_path.size());
+    if (request->head.method() == boost::beast::http::verb::post) {
+      if (const auto map = claims::map_from_cbor_bytes(body, reason))
+        claims_.map_seen(*map, boot_now());
+      request->respond({});
+    } else if (const auto* map = known_.find_map(service)) {
+      request->respond({.text = claims::to_cbor_bytes(*map)});
+    } else {
+      request->respond({.status = status_not_found});
+    }
+  } else {
+    request->respond({.status = status_not_found});
+  }
+}
+
+std::string peer_side::state_document() const {
+  nlohmann::json entries = nlohmann::json::object();
+  for (const auto* each : known_.directory.all())
+    entries[each->agent] = nlohmann::json::parse(platform::encode_registration(*each));
+  return nlohmann::json{{"state", known_.state_text()}, {"registrations", entries}}.dump();
+}
+
+void peer_side::note_versions(const endpoint& peer, const std::string& service,
+                              std::uint64_t state_version, std::uint64_t map_revision) {
+  if (state_version > known_.routes().version() && !fetching_) {
+    fetching_ = true;
+    asio::co_spawn(executor_, fetch_state(peer), asio::detached);
+  }
+  if (map_revision > known_.map_revision(service)) claims_.refresh_map(service);
+}
+
+asio::awaitable<void> peer_side::fetch_state(endpoint peer) {
+  cancellation nobody;
+  exchange_request request;
+  request.head = "GET " + std::string(state_path) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
+  request.deadline = boot_now() + fetch_timeout;
+  auto end = co_await run_exchange(peers_, peer, std::move(request), nobody);
+  fetching_ = false;
+  if (end.result != exchange_result::answered || end.status != status_ok || !end.body->whole())
+    co_return;
+  try {
+    const auto document = nlohmann::json::parse(end.body->held());
+    if (on_state_) on_state_(document.at("state").get<std::string>());
+    if (known_.directory_loaded) co_return;
+    for (const auto& [agent, spec] : document.at("registrations").items()) {
+      failure reason;
+      if (auto entry = platform::decode_registration(agent, spec.dump(), reason))
+        known_.directory.put(std::move(*entry), boot_now());
+    }
+    claims_.fleet_changed(boot_now());
+  } catch (const nlohmann::json::exception& error) {
+    log_.line(support::line_class::process,
+              "peer_state_unreadable peer=" + peer + " why=\"" + error.what() + "\"", boot_now());
+  }
+}
+
+asio::awaitable<attempt_outcome> peer_side::send(std::shared_ptr<attempt> what, std::string agent,
+                                                 endpoint to) {
+  const auto now = boot_now();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(what->deadline - now);
+  if (left <= std::chrono::milliseconds{0}) co_return refused(refusal::overloaded);
+  const std::string service = what->service;
+  known_.directory.sent(agent);
+  exchange_request request;
+  request.head =
+      what->method + ' ' + what->target + " HTTP/1.1\r\n" + hop_line(*what, left) + what->lines;
+  request.body = what->body;
+  request.is_head = what->method == "HEAD";
+  request.deadline = what->deadline + answer_grace;
+  auto end = co_await run_exchange(peers_, to, std::move(request), *what->left);
+  attempt_outcome outcome{.detail = std::move(end.detail)};
+  using routing::attempt_mark;
+  auto mark = attempt_mark::good;
+  switch (end.result) {
+    case exchange_result::not_connected:
+      mark = attempt_mark::unreachable;
+      break;
+    case exchange_result::cancelled:
+      outcome.result = attempt_result::cancelled;
+      break;
+    case exchange_result::broken:
+    case exchange_result::garbled:
+    case exchange_result::timed_out:
+      outcome.result = attempt_result::may_have_run;
+      outcome.reached_upstream = true;
+      mark = attempt_mark::unreachable;
+      break;
+    case exchange_result::answered: {
+      auto statement = read_peer_statement(end.head);
+      outcome.load = statement.load;
+      note_versions(to, service, statement.state_version, statement.map_revision);
+      if (statement.refused) {
+        statement.refused->load = statement.load;
+        outcome = std::move(*statement.refused);
+        mark = outcome.result == attempt_result::may_have_run ? attempt_mark::failed
+               : outcome.why == refusal::no_upstream          ? attempt_mark::unreachable
+                                                              : attempt_mark::refused;
+      } else if (!statement.load) {
+        outcome.result = attempt_result::may_have_run;
+        outcome.reached_upstream = true;
+        outcome.detail = "the peer's answer lacks its statement";
+        mark = attempt_mark::failed;
+      } else {
+        constexpr unsigned first_server_error = 500;
+        outcome.result = attempt_result::answered;
+        outcome.reached_upstream = true;
+        outcome.status = end.status;
+        outcome.lines = lines_towards_caller(end.head);
+        outcome.body = std::move(end.body);
+        if (end.status >= first_server_error) mark = attempt_mark::failed;
+      }
+      break;
+    }
+  }
+  known_.directory.ended(agent, mark, outcome.load, boot_now());
+  co_return outcome;
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/peer_side.h
@@ -0,0 +1,59 @@
+/// @file
+/// Both ends of the way between agents: requests that peers send here, and those sent to peers.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "fleet/internal/attempt.h"
+#include "fleet/internal/claims_driver.h"
+#include "fleet/internal/gate_service.h"
+#include "fleet/internal/http_client.h"
+#include "fleet/internal/knowledge.h"
+#include "masticshunt/support/event_log.h"
+
+namespace masticshunt::fleet {
+
+/// Serves peers at this agent's gate.
+///
+/// Thread safety: none.
+class peer_side {
+ public:
+  peer_side(boost::asio::any_io_executor executor, const fleet_settings& settings, knowledge& known,
+            gate_service& gate, claims_driver& claims, connection_pool& peers,
+            support::event_log& log);
+
+  /// Answers a request of a peer.
+  void handle(std::shared_ptr<server_request> request);
+
+  /// Sends an attempt to the agent at `to`.
+  boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> what, std::string agent,
+                                               endpoint to);
+
+  /// Sets who is told of a desired state that a peer passed on, in its stored form.
+  void on_state(std::function<void(const std::string&)> action) { on_state_ = std::move(action); }
+
+ private:
+  boost::asio::awaitable<void> serve(std::shared_ptr<server_request> request,
+                                     std::shared_ptr<attempt> what);
+  boost::asio::awaitable<void> serve_call(std::shared_ptr<server_request> request);
+  void note_versions(const endpoint& peer, const std::string& service, std::uint64_t state_version,
+                     std::uint64_t map_revision);
+  boost::asio::awaitable<void> fetch_state(endpoint peer);
+  std::string state_document() const;
+
+  boost::asio::any_io_executor executor_;
+  const fleet_settings& settings_;
+  knowledge& known_;
+  gate_service& gate_;
+  claims_driver& claims_;
+  connection_pool& peers_;
+  support::event_log& log_;
+  std::function<void(const std::string&)> on_state_;
+  bool fetching_ = false;
+};
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/store_client.cpp
@@ -0,0 +1,144 @@
+#include "fleet/internal/store_client.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "masticshunt/support/clock.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration watch_length = std::chrono::seconds{15};
+constexpr duration watch_slack = std::chrono::seconds{2};
+constexpr duration list_timeout = std::chrono::milliseconds{1'500};
+constexpr duration first_pause = std::chrono::milliseconds{100};
+constexpr duration longest_pause = std::chrono::milliseconds{800};
+
+}  // namespace
+
+store_client::store_client(asio::any_io_executor executor, endpoint address,
+                           support::event_log& log)
+    : pool_(std::move(executor), {.connect_timeout = std::chrono::milliseconds{600}}),
+      address_(std::move(address)),
+      log_(log) {}
+
+asio::awaitable<store_answer> store_client::call(platform::call what, duration timeout) {
+  ++counts_.calls;
+  exchange_request request{.head = what.method + ' ' + what.target + " HTTP/1.1\r\nHost: " +
+                                   address_ + "\r\nContent-Type: application/json\r\n",
+                           .deadline = boot_now() + timeout};
+  if (!what.body.empty()) {
+    request.body = std::make_shared<body_pipe>();
+    request.body->append(what.body);
+    request.body->finish();
+  }
+  cancellation nobody;
+  auto end = co_await run_exchange(pool_, address_, std::move(request), nobody);
+  store_answer answer;
+  if (end.result != exchange_result::answered || !end.body->whole()) {
+    ++counts_.unanswered;
+    // Nothing was sent: the call has not taken effect.
+    if (end.result == exchange_result::not_connected)
+      answer.verdict = platform::store_verdict::refused;
+    note_reached(false, "no answer " + end.detail);
+    co_return answer;
+  }
+  answer.verdict = platform::store_verdict_of(end.status);
+  answer.body = end.body->held();
+  const bool refused = answer.verdict == platform::store_verdict::refused;
+  if (refused) ++counts_.refused;
+  note_reached(!refused, "status=" + std::to_string(end.status));
+  co_return answer;
+}
+
+void store_client::note_reached(bool reached, const std::string& why) {
+  const auto now = boot_now();
+  if (reached == !lost_since_) return;
+  if (!reached) {
+    lost_since_ = now;
+    log_.line(support::line_class::process, "store_lost why=\"" + why + "\"", now);
+    return;
+  }
+  const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(now - *lost_since_);
+  lost_since_.reset();
+  log_.line(support::line_class::process, "store_regained away_ms=" + std::to_string(away.count()),
+            now);
+}
+
+asio::awaitable<std::optional<platform::stored_page>> store_client::list(std::string kind) {
+  platform::stored_page all;
+  std::string after;
+  for (;;) {
+    const auto answer = co_await call(platform::list_objects(kind, after), list_timeout);
+    if (!answer.done()) co_return std::nullopt;
+    failure reason;
+    auto page = platform::decode_page(answer.body, reason);
+    if (!page) {
+      log_.line(support::line_class::process,
+                "store_list_unreadable kind=" + kind + " why=\"" + reason.describe() + "\"",
+                boot_now());
+      co_return std::nullopt;
+    }
+    if (all.revision == 0) all.revision = page->revision;
+    if (!page->objects.empty()) after = page->objects.back().name;
+    std::ranges::move(page->objects, std::back_inserter(all.objects));
+    if (!page->more || page->objects.empty()) co_return all;
+  }
+}
+
+store_watch::store_watch(store_client& store, std::string kind, duration batching, handlers on)
+    : store_(store),
+      kind_(std::move(kind)),
+      batching_(batching),
+      on_(std::move(on)),
+      pause_(store.executor()) {}
+
+asio::awaitable<void> store_watch::wait(duration span) {
+  boost::system::error_code ignored;
+  pause_.expires_after(span);
+  co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> store_watch::run() {
+  duration pause = first_pause;
+  std::optional<std::uint64_t> revision;
+  for (;;) {
+    if (!revision) {
+      auto all = co_await store_.list(kind_);
+      if (!all) {
+        co_await wait(pause);
+        pause = std::min(pause * 2, longest_pause);
+        continue;
+      }
+      revision = all->revision;
+      on_.listed(std::move(all->objects));
+    }
+    const auto answer = co_await store_.call(
+        platform::watch_objects(
+            kind_, *revision, std::chrono::duration_cast<std::chrono::milliseconds>(watch_length)),
+        watch_length + watch_slack);
+    if (answer.verdict == platform::store_verdict::history_gone) {
+      store_.log().line(support::line_class::process, "store_history_gone kind=" + kind_,
+                        boot_now());
+      revision.reset();
+      continue;
+    }
+    failure reason;
+    const auto seen = answer.done() ? platform::decode_changes(answer.body, reason) : std::nullopt;
+    if (!seen) {
+      co_await wait(pause);
+      pause = std::min(pause * 2, longest_pause);
+      continue;
+    }
+    pause = first_pause;
+    revision = seen->revision;
+    std::ranges::for_each(seen->changes, on_.changed);
+    if (!seen->changes.empty() && batching_ > duration{}) co_await wait(batching_);
+  }
+}
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/store_client.h
@@ -0,0 +1,90 @@
+/// @file
+/// Calls to the platform's store, and watches of its kinds.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/internal/http_client.h"
+#include "masticshunt/support/event_log.h"
+#include "platform/calls.h"
+#include "platform/documents.h"
+
+namespace masticshunt::fleet {
+
+/// The store's answer. `verdict` is nothing if there was none: the call may have taken effect.
+struct store_answer {
+  std::optional<platform::store_verdict> verdict;
+  std::string body;
+  [[nodiscard]] bool done() const { return verdict == platform::store_verdict::done; }
+};
+
+/// Counts of calls by what became of them.
+struct store_counts {
+  std::uint64_t calls = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unanswered = 0;
+};
+
+/// Sends calls to the store.
+///
+/// Thread safety: none.
+class store_client {
+ public:
+  store_client(boost::asio::any_io_executor executor, endpoint address, support::event_log& log);
+
+  /// Carries out one call. It is not tried again.
+  boost::asio::awaitable<store_answer> call(platform::call what, duration timeout);
+  /// Returns all objects of a kind and the revision they stand for, or nothing.
+  boost::asio::awaitable<std::optional<platform::stored_page>> list(std::string kind);
+
+  [[nodiscard]] const store_counts& counts() const { return counts_; }
+  /// Returns true while the last call had an answer.
+  [[nodiscard]] bool reached() const { return !lost_since_; }
+  void sweep(time_point now) { pool_.sweep(now); }
+  [[nodiscard]] const boost::asio::any_io_executor& executor() const { return pool_.executor(); }
+  [[nodiscard]] support::event_log& log() { return log_; }
+
+ private:
+  void note_reached(bool reached, const std::string& why);
+
+  connection_pool pool_;
+  endpoint address_;
+  support::event_log& log_;
+  store_counts counts_;
+  std::optional<time_point> lost_since_;
+};
+
+/// Follows one kind of objects: lists it, then watches for changes, and lists again whenever the
+/// history was lost.
+///
+/// Thread safety: none.
+class store_watch {
+ public:
+  struct handlers {
+    std::function<void(std::vector<platform::stored_object>)> listed;
+    std::function<void(const platform::stored_change&)> changed;
+  };
+  store_watch(store_client& store, std::string kind, duration batching, handlers on);
+
+  /// Follows the kind until the process ends.
+  boost::asio::awaitable<void> run();
+  /// Looks at once instead of after a pause.
+  void hurry() { pause_.cancel(); }
+
+ private:
+  boost::asio::awaitable<void> wait(duration span);
+
+  store_client& store_;
+  std::string kind_;
+  duration batching_;
+  handlers on_;
+  boost::asio::steady_timer pause_;
+};
+
+}  // namespace masticshunt::fleet
--- /dev/null
+++ b/src/fleet/internal/upstream_side.cpp
@@ -0,0 +1,209 @@
+#include "fleet/internal/upstream_side.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "masticshunt/support/clock.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr double silent_beats = 3.5;
+constexpr duration silence_slack = std::chrono::milliseconds{500};
+constexpr duration publish_timeout = std::chrono::milliseconds{700};
+constexpr duration publish_pause = std::chrono::milliseconds{250};
+constexpr duration ack_wait_max = std::chrono::milliseconds{500};
+constexpr std::uint32_t failures_until_down = 2;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+
+duration silence_after(const fleet_settings& settings) {
+  return std::chrono::duration_cast<duration>(settings.heartbeat * silent_beats) + silence_slack;
+}
+
+}  // namespace
+
+upstream_side::upstream_side(asio::any_io_executor executor, const fleet_settings& settings,
+                             knowledge& known, store_client& store, gate_service& gate,
+                             support::event_log& log)
+    : executor_(std::move(executor)),
+      settings_(settings),
+      known_(known),
+      store_(store),
+      gate_(gate),
+      log_(log),
+      watch_(silence_after(settings)) {}
+
+routing::registration upstream_side::registration(time_point now) const {
+  routing::registration entry{.agent = settings_.name,
+                              .address = settings_.peer_address(),
+                              .zone = settings_.zone,
+                              .region = settings_.region,
+                              .service = settings_.service};
+  if (const auto& word = watch_.last()) {
+    entry.service = word->service;
+    entry.life = word->life;
+    entry.slots = word->slots;
+    entry.stage = watch_.stage(now);
+  } else {
+    entry.stage = routing::upstream_stage::gone;
+  }
+  return entry;
+}
+
+void upstream_side::registrations_loaded() {
+  const auto* entry = known_.directory.find(settings_.name);
+  if (entry == nullptr) return;
+  published_ = *entry;
+  if (watch_.last()) return;
+  watch_.assume(*entry);
+  apply(boot_now());
+}
+
+void upstream_side::handle(std::shared_ptr<server_request> request) {
+  const auto method = request->head.method_string();
+  const auto target = request->head.target();
+  auto what =
+      platform::read_own_call({method.data(), method.size()}, {target.data(), target.size()});
+  if (what.what != platform::own_request::heartbeat &&
+      what.what != platform::own_request::leaving) {
+    request->respond({.status = status_not_found, .text = "no such call\n"});
+    return;
+  }
+  asio::co_spawn(executor_, answer_word(std::move(request), std::move(what)), asio::detached);
+}
+
+asio::awaitable<void> upstream_side::answer_word(std::shared_ptr<server_request> request,
+                                                 platform::own_call what) {
+  asio::steady_timer pause(executor_);
+  while (!request->body->complete() && !request->body->failed() && !request->left.requested()) {
+    boost::system::error_code ignored;
+    pause.expires_after(std::chrono::milliseconds{5});
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  const auto now = boot_now();
+  bool changed = false;
+  const auto before = registration(now);
+  if (what.what == platform::own_request::heartbeat) {
+    failure reason;
+    const auto beat = platform::decode_heartbeat(what.upstream_id, request->body->held(), reason);
+    const bool known_service = beat && (known_.routes().version() == 0 ||
+                                        known_.routes().find_service(beat->service) != nullptr);
+    if (!known_service) {
+      log_.line(support::line_class::process,
+                "heartbeat_refused upstream=" + what.upstream_id + " why=\"" +
+                    (beat ? "service " + beat->service + " is not known" : reason.describe()) +
+                    "\"",
+                now);
+      request->respond({.status = status_bad_request, .text = "heartbeat can't be used\n"});
+      co_return;
+    }
+    watch_.heard({.life = beat->life,
+                  .service = beat->service,
+                  .slots = beat->slots,
+                  .leaving = beat->leaving,
+                  .sequence = beat->sequence},
+                 now);
+  } else {
+    watch_.gone(what.upstream_id, now);
+  }
+  const auto after = registration(now);
+  changed = before != after;
+  apply(now);
+  if (changed) {
+    log_.line(support::line_class::process,
+              "upstream_changed upstream=" + after.life.id +
+                  " born=" + std::to_string(after.life.born_ms) + " service=" + after.service +
+                  " stage=" + std::string(routing::to_string(after.stage)) +
+                  " slots=" + std::to_string(after.slots),
+              now);
+  }
+  if (changed && after.stage != routing::upstream_stage::ready) {
+    // The store is to know before the upstream does that it has been heard.
+    const auto until = now + ack_wait_max;
+    while (published_ != after && boot_now() < until) {
+      boost::system::error_code ignored;
+      pause.expires_after(std::chrono::milliseconds{10});
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+  request->respond({.lines = "Content-Type: application/json\r\n", .text = "{}"});
+}
+
+void upstream_side::apply(time_point now) {
+  const auto entry = registration(now);
+  const bool usable = watch_.last() && !down_ && (watch_.present(now) || !watch_.confirmed()) &&
+                      entry.life.id == watch_.last()->life.id;
+  gate_.upstream_is(usable ? std::optional(entry.life) : std::nullopt, entry.service, entry.slots);
+  gate_.upstream_leaves(watch_.leaving_since());
+  if (on_change_) on_change_();
+  if (!publishing_ && published_ != entry && watch_.confirmed())
+    asio::co_spawn(executor_, publish(), asio::detached);
+}
+
+void upstream_side::tick(time_point now) {
+  const bool fails = gate_.connect_failures() >= failures_until_down;
+  if (fails && !down_) {
+    down_ = true;
+    log_.line(support::line_class::process, "upstream_lost why=\"no connection\"", now);
+    apply(now);
+    asio::co_spawn(
+        executor_,
+        [this]() -> asio::awaitable<void> {
+          // One probe at a time until a connection can be opened again.
+          while (down_) {
+            cancellation nobody;
+            auto connection = co_await gate_.pool().acquire(
+                settings_.upstream, boot_now() + std::chrono::milliseconds{400}, nobody);
+            if (connection) {
+              gate_.pool().release(connection);
+              down_ = false;
+              gate_.forgive();
+              log_.line(support::line_class::process, "upstream_regained", boot_now());
+              apply(boot_now());
+              co_return;
+            }
+            asio::steady_timer pause(executor_, std::chrono::milliseconds{250});
+            boost::system::error_code ignored;
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+          }
+        },
+        asio::detached);
+  }
+  if (!watch_.confirmed()) return;
+  const auto entry = registration(now);
+  if (published_ && published_->stage != entry.stage) apply(now);
+  if (!publishing_ && published_ != entry && now >= next_publish_)
+    asio::co_spawn(executor_, publish(), asio::detached);
+}
+
+asio::awaitable<void> upstream_side::publish() {
+  publishing_ = true;
+  const auto entry = registration(boot_now());
+  const auto text = platform::encode_registration(entry);
+  auto answer = co_await store_.call(
+      platform::replace_object(platform::kind_registrations, settings_.name, text, std::nullopt),
+      publish_timeout);
+  if (answer.verdict == platform::store_verdict::missing) {
+    answer = co_await store_.call(
+        platform::create_object(platform::kind_registrations, settings_.name, text),
+        publish_timeout);
+  }
+  publishing_ = false;
+  if (answer.done()) {
+    published_ = entry;
+    known_.directory.put(entry, boot_now());
+  } else {
+    next_publish_ = boot_now() + publish_pause;
+  }
+}
+
+}  // namespace masticshunt::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <charconv>
 #include <cstdio>
+#include <cstdlib>
 #include <iterator>
 #include <optional>
 
@@ -11,6 +12,7 @@
 #include "masticshunt/agent/settings.h"
 #include "masticshunt/bench/run.h"
 #include "masticshunt/demo/run.h"
+#include "masticshunt/fleet/run.h"
 #include "masticshunt/operator/command.h"
 #include "masticshunt/platform/store_stand_in.h"
 #include "masticshunt/support/log.h"
@@ -53,6 +55,15 @@
   return masticshunt::agent::run_agent(*settings);
 }
 
+int run_fleet_agent_command(const arguments& with) {
+  auto path = text_argument(with, "--config");
+  if (!path) {
+    const char* named = std::getenv("MASTICSHUNT_CONFIG");
+    path = named == nullptr ? "" : named;
+  }
+  return masticshunt::fleet::run_fleet_agent(*path);
+}
+
 int run_store_stand_in(const arguments& with) {
   const auto port = number_argument(with, "--port");
   if (!port || *port > port_max) {
@@ -129,6 +140,11 @@
             "  masticshunt agent --config=FILE\n\nOptions:\n"
             "  --config=FILE  The agent's settings.\n",
             &run_agent_command},
+    command{"fleet-agent", "Runs the agent beside one upstream of the users' platform",
+            "  masticshunt fleet-agent [--config=FILE]\n\nOptions:\n"
+            "  --config=FILE  The agent's settings; by default the file that the environment\n"
+            "                 variable MASTICSHUNT_CONFIG names.\n",
+            &run_fleet_agent_command},
     command{"bench", "Measures the path over loopback sockets against its targets",
             "  masticshunt bench [options]\n\nOptions:\n"
             "  --deployment=NAME  imhof, llyfrnod or both [default: imhof].\n"
--- /dev/null
+++ b/src/support/event_log.cpp
@@ -0,0 +1,82 @@
+#include "masticshunt/support/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <numeric>
+
+namespace masticshunt::support {
+
+namespace {
+
+constexpr duration summary_interval = std::chrono::seconds{1};
+
+std::string stamp() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  std::array<char, 40> text{};
+  std::snprintf(text.data(), text.size(), "%lld.%03lld", static_cast<long long>(ms / 1000),
+                static_cast<long long>(ms % 1000));
+  return text.data();
+}
+
+}  // namespace
+
+event_log::event_log(int descriptor, std::string process, event_log_budget budget)
+    : descriptor_(descriptor), process_(std::move(process)), budget_(budget) {
+  const int flags = ::fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  for (std::size_t kind = 0; kind < tokens_.size(); ++kind)
+    tokens_.at(kind) = budget_.lines_per_second.at(kind) * budget_.burst_seconds;
+}
+
+bool event_log::admits(line_class kind, time_point now) {
+  const double passed = std::chrono::duration<double>(now - refilled_).count();
+  if (passed > 0) {
+    for (std::size_t each = 0; each < tokens_.size(); ++each) {
+      const double rate = budget_.lines_per_second.at(each);
+      tokens_.at(each) = std::min(tokens_.at(each) + passed * rate, rate * budget_.burst_seconds);
+    }
+    refilled_ = now;
+  }
+  const auto place = static_cast<std::size_t>(kind);
+  if (tokens_.at(place) < 1) {
+    ++held_.at(place);
+    ++held_total_.at(place);
+    return false;
+  }
+  tokens_.at(place) -= 1;
+  return true;
+}
+
+void event_log::line(line_class kind, std::string_view text, time_point now) {
+  if (admits(kind, now)) write(text);
+}
+
+void event_log::write(std::string_view text) {
+  if (out_.size() > budget_.held_bytes_max) {
+    ++lost_;
+    return;
+  }
+  out_.append("time=").append(stamp()).append(" agent=").append(process_).append(" event=");
+  out_.append(text).append("\n");
+}
+
+void event_log::flush(time_point now) {
+  const auto held = std::accumulate(held_.begin(), held_.end(), std::uint64_t{0});
+  if (held > 0 && now >= next_summary_) {
+    next_summary_ = now + summary_interval;
+    write("log_held_back process=" + std::to_string(held_[0]) +
+          " failure=" + std::to_string(held_[1]) + " success=" + std::to_string(held_[2]) +
+          " lost=" + std::to_string(lost_));
+    held_ = {};
+  }
+  if (out_.empty()) return;
+  const auto written = ::write(descriptor_, out_.data(), out_.size());
+  if (written > 0) out_.erase(0, static_cast<std::size_t>(written));
+}
+
+}  // namespace masticshunt::support
