--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -89,6 +89,8 @@
   /// The upstream beside this agent told of itself, or ceased to (nothing).
   void upstream_is(std::optional<upstream_life> life, bool stays, std::uint32_t slots,
                    time_point now);
+  /// This agent is about to restart while its upstream goes on: keys are granted for longer.
+  void restart(time_point now);
   /// Sets what the next report says of the load.
   void set_load(std::vector<key_load> loads, duration service_time);
   /// Takes in a map from anywhere; only a newer one counts.
@@ -156,6 +158,7 @@
   std::optional<upstream_life> upstream_;  ///< The newest life that was heard of.
   bool present_ = false;
   bool stays_ = false;
+  bool restarting_ = false;
   std::uint32_t slots_ = 1;
   std::vector<key_load> loads_;
   duration service_time_{};
@@ -178,6 +181,7 @@
   std::vector<piece> pieces_;
   std::map<grant_call, call_in_flight> calls_;
   grant_call next_call_ = 1;
+  std::size_t grants_in_flight_ = 0;
   std::vector<std::string> notes_;  ///< Said with the next tick.
 };
 
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -105,8 +105,9 @@
   std::string service;
   holder_id holder;
   endpoint address;
-  upstream_life upstream;  ///< Empty id: no upstream is there.
-  bool accepting = false;  ///< The upstream is ready and stays.
+  upstream_life upstream;   ///< Empty id: no upstream is there.
+  bool accepting = false;   ///< The upstream is ready and stays.
+  bool restarting = false;  ///< The agent is about to restart; its upstream goes on.
   std::uint32_t slots = 1;
   duration service_time{};
   std::uint64_t map_revision = 0;
@@ -118,7 +119,7 @@
 
 /// The steward's answer.
 struct steward_reply {
-  bool renewed = false;  ///< The owner's right goes on, counted from when it sent its report.
+  duration right{};  ///< Counted from when the owner sent its report; zero if not renewed.
   bool is_steward = false;
   std::optional<claim_map> map;  ///< Set if it is newer than the owner's.
   std::vector<released_range> to_release;
@@ -128,14 +129,18 @@
 
 /// Lengths that the proof of one owner per key rests on; docs/design/platform.md derives them.
 struct claim_timing {
-  duration reply_right = std::chrono::milliseconds{2'000};     ///< Given by a steward's reply.
+  duration reply_right = std::chrono::milliseconds{2'000};  ///< Given by a steward's reply.
+  /// Given by a steward's reply to an owner that restarts.
+  duration restart_right = std::chrono::milliseconds{5'000};
   duration lease_right = std::chrono::milliseconds{2'000};     ///< Given by a renewed lease object.
   duration steward_right = std::chrono::milliseconds{12'000};  ///< Given by a written map.
   duration hold = std::chrono::milliseconds{2'000};            ///< Of a grant to an upstream.
   duration hold_renewal = std::chrono::milliseconds{700};  ///< Between grants of the same range.
   duration margin = std::chrono::milliseconds{200};  ///< For delays between deciding and sending.
   double upstream_clock_error = 0.02;                ///< By which an upstream's clock may be slow.
-  duration report_interval = std::chrono::milliseconds{350};
+  duration send_limit = std::chrono::milliseconds{100};  ///< Grants not sent by then are dropped.
+  std::size_t grants_at_once = 4;
+  duration report_interval = std::chrono::milliseconds{300};
   duration steward_silence = std::chrono::milliseconds{800};  ///< Then leases are renewed too.
   duration lease_interval = std::chrono::milliseconds{600};
   duration owner_silence = std::chrono::milliseconds{1'000};    ///< Then an owner is suspected.
--- a/include/masticshunt/decisions/claims/steward.h
+++ b/include/masticshunt/decisions/claims/steward.h
@@ -91,8 +91,8 @@
   struct owner {
     owner_report report;
     time_point last_report{};
-    time_point last_ack{};
-    std::uint64_t ended = 0;  ///< Registrations up to this one are over.
+    time_point right_until{};  ///< By the replies it was sent.
+    std::uint64_t ended = 0;   ///< Registrations up to this one are over.
     bool suspected = false;
     bool lease_call = false;
     bool deleting = false;  ///< A deletion was sent and may still take effect.
--- a/include/masticshunt/decisions/requests/repeat_budget.h
+++ b/include/masticshunt/decisions/requests/repeat_budget.h
@@ -33,14 +33,17 @@
   void requested(std::string_view service, time_point now);
   /// Takes one repeat for `service` out of the budget. Returns false if there is none left.
   bool take(std::string_view service, std::size_t agents, time_point now);
+  /// Notes that a request for `service` is itself a repeat with probability `share`, since a run
+  /// that was repeated may have made it.
+  void charge(std::string_view service, double share, time_point now);
   /// Returns how many repeats are left for `service`.
   [[nodiscard]] double left(std::string_view service, std::size_t agents, time_point now);
 
  private:
   static constexpr std::size_t parts = 20;
   struct counts {
-    std::array<std::uint32_t, parts> requests{};
-    std::array<std::uint32_t, parts> repeats{};
+    std::array<double, parts> requests{};
+    std::array<double, parts> repeats{};
     std::int64_t newest = 0;
   };
   counts& advanced(std::string_view service, time_point now);
--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -62,7 +62,7 @@
 /// Costs that the choice weighs, all as time.
 struct balance_settings {
   duration same_zone{};
-  duration other_zone = std::chrono::milliseconds{4};
+  duration other_zone = std::chrono::milliseconds{10};
   duration other_region = std::chrono::milliseconds{40};
   duration assumed_service_time = std::chrono::milliseconds{60};
   duration failure_penalty = std::chrono::milliseconds{600};  ///< At a failure share of one.
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -62,9 +62,16 @@
   report_now_ = true;
   pieces_.clear();
   calls_.clear();
+  grants_in_flight_ = 0;
   reconcile(now);
 }
 
+void claim_holder::restart(time_point now) {
+  restarting_ = true;
+  report_now_ = true;
+  for (piece& each : pieces_) each.next_grant = now;
+}
+
 void claim_holder::set_load(std::vector<key_load> loads, duration service_time) {
   loads_ = std::move(loads);
   service_time_ = service_time;
@@ -105,8 +112,8 @@
     next_report_ = now + retry_after_failure;
     return;
   }
-  if (reply->renewed) {
-    right_by_reply_ = std::max(right_by_reply_, sent + timing_.reply_right);
+  if (reply->right > duration{}) {
+    right_by_reply_ = std::max(right_by_reply_, sent + reply->right);
     last_reply_ = now;
   }
   if (reply->map) map_seen(*reply->map, now);
@@ -118,6 +125,7 @@
   if (found == calls_.end()) return;
   const call_in_flight ended = found->second;
   calls_.erase(found);
+  if (grants_in_flight_ > 0) --grants_in_flight_;
   const time_point may_hold_until =
       ended.sent + timing_.margin + scaled(ended.hold, 1 + timing_.upstream_clock_error);
   for (piece& each : pieces_) {
@@ -219,9 +227,10 @@
                   .fence = each.fence,
                   .handover = each.handover};
       // An earlier process on this VM may have granted the range just before it ended.
-      if (now - began_ < timing_.hold + timing_.margin) {
-        fresh.held_until =
-            began_ + timing_.margin + scaled(timing_.hold, 1 + timing_.upstream_clock_error);
+      const auto earlier_until =
+          began_ + timing_.margin + scaled(timing_.restart_right, 1 + timing_.upstream_clock_error);
+      if (now < earlier_until) {
+        fresh.held_until = earlier_until;
         fresh.unanswered_until = fresh.held_until;
       }
       next.push_back(std::move(fresh));
@@ -268,15 +277,17 @@
   if (!present_) return;
   const duration left =
       scaled(right_end() - now - 2 * timing_.margin, 1 / (1 + timing_.upstream_clock_error));
-  const duration hold = std::min(timing_.hold, left);
+  const duration hold = std::min(restarting_ ? timing_.restart_right : timing_.hold, left);
   if (hold < shortest_hold) return;
   for (piece& each : pieces_) {
+    if (grants_in_flight_ >= timing_.grants_at_once) return;
     if (each.at != stage::held || each.call != 0 || now < each.next_grant) continue;
     each.call = next_call_++;
     each.next_grant = now + std::min(timing_.hold_renewal, hold / 2);
     each.held_until = std::max(
         each.held_until, now + timing_.margin + scaled(hold, 1 + timing_.upstream_clock_error));
     calls_[each.call] = {now, hold, each.keys, each.fence};
+    ++grants_in_flight_;
     out.emplace_back(grant_keys{each.call, each.keys, each.fence,
                                 std::chrono::floor<std::chrono::milliseconds>(hold),
                                 each.confirmed ? std::string{} : each.handover});
@@ -325,6 +336,7 @@
                    " pieces=" + std::to_string(pieces_.size()) + " why=\"" + why + "\"");
   pieces_.clear();
   calls_.clear();
+  grants_in_flight_ = 0;
   registration_.reset();
   right_by_reply_ = {};
   right_by_lease_ = {};
@@ -336,6 +348,7 @@
                       .address = address_,
                       .upstream = present_ ? *upstream_ : upstream_life{},
                       .accepting = present_ && stays_,
+                      .restarting = restarting_,
                       .slots = slots_,
                       .service_time = service_time_,
                       .map_revision = map_.revision,
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -70,21 +70,35 @@
 }
 
 json pack(const claim& one) {
-  return {{"keys", pack(one.keys)},
-          {"holder", pack(one.holder)},
-          {"upstream", pack(one.upstream)},
-          {"fence", one.fence},
-          {"handover", one.handover}};
-}
-claim unpack_claim(const json& in) {
-  return {unpack_range(in.at("keys")), unpack_holder(in.at("holder")),
-          unpack_life(in.at("upstream")), in.at("fence").get<std::uint64_t>(),
-          in.at("handover").get<std::string>()};
+  return json::array({one.keys.first, one.keys.last, one.fence, one.handover});
+}
+claim unpack_claim(const json& in, const json& holders) {
+  claim one{.keys = unpack_range(in),
+            .fence = in.at(2).get<std::uint64_t>(),
+            .handover = in.at(3).get<std::string>()};
+  if (in.size() > 4) {
+    const json& holder = holders.at(in.at(4).get<std::size_t>());
+    one.holder = unpack_holder(holder.at(0));
+    one.upstream = unpack_life(holder.at(1));
+  }
+  return one;
 }
 
 json pack(const claim_map& map) {
+  // Each holder is written once; claims name it by its place.
   json claims = json::array();
-  for (const claim& each : map.claims) claims.push_back(pack(each));
+  std::vector<std::pair<holder_id, upstream_life>> holders;
+  for (const claim& each : map.claims) {
+    claims.push_back(pack(each));
+    if (each.holder.agent.empty()) continue;
+    const auto who = std::pair(each.holder, each.upstream);
+    const auto found = std::ranges::find(holders, who);
+    claims.back().push_back(found - holders.begin());
+    if (found == holders.end()) holders.push_back(who);
+  }
+  json packed_holders = json::array();
+  for (const auto& [holder, life] : holders)
+    packed_holders.push_back(json::array({pack(holder), pack(life)}));
   return {{"service", map.service},
           {"revision", map.revision},
           {"beat", map.beat},
@@ -92,6 +106,7 @@
           {"steward_address", map.steward_address},
           {"steward_life", map.steward_life},
           {"next_fence", map.next_fence},
+          {"holders", std::move(packed_holders)},
           {"claims", std::move(claims)}};
 }
 claim_map unpack_map(const json& in) {
@@ -103,7 +118,8 @@
   map.steward_address = in.at("steward_address").get<std::string>();
   map.steward_life = in.at("steward_life").get<std::uint64_t>();
   map.next_fence = in.at("next_fence").get<std::uint64_t>();
-  for (const json& each : in.at("claims")) map.claims.push_back(unpack_claim(each));
+  for (const json& each : in.at("claims"))
+    map.claims.push_back(unpack_claim(each, in.at("holders")));
   if (!map.covers_all()) throw std::out_of_range("claims do not cover every key once");
   return map;
 }
@@ -130,6 +146,7 @@
           {"address", report.address},
           {"upstream", pack(report.upstream)},
           {"accepting", report.accepting},
+          {"restarting", report.restarting},
           {"slots", report.slots},
           {"service_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
@@ -144,6 +161,7 @@
   report.address = in.at("address").get<std::string>();
   report.upstream = unpack_life(in.at("upstream"));
   report.accepting = in.at("accepting").get<bool>();
+  report.restarting = in.at("restarting").get<bool>();
   report.slots = in.at("slots").get<std::uint32_t>();
   report.service_time = std::chrono::microseconds{in.at("service_us").get<std::int64_t>()};
   report.map_revision = in.at("map").get<std::uint64_t>();
@@ -154,7 +172,7 @@
 }
 
 json pack(const steward_reply& reply) {
-  json out{{"renewed", reply.renewed},
+  json out{{"right_us", std::chrono::duration_cast<std::chrono::microseconds>(reply.right).count()},
            {"is_steward", reply.is_steward},
            {"to_release", pack(reply.to_release)}};
   if (reply.map) out["map"] = pack(*reply.map);
@@ -162,7 +180,7 @@
 }
 steward_reply unpack_reply(const json& in) {
   steward_reply reply;
-  reply.renewed = in.at("renewed").get<bool>();
+  reply.right = std::chrono::microseconds{in.at("right_us").get<std::int64_t>()};
   reply.is_steward = in.at("is_steward").get<bool>();
   reply.to_release = unpack_released(in.at("to_release"));
   if (const auto map = in.find("map"); map != in.end()) reply.map = unpack_map(*map);
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 constexpr duration settle_time = std::chrono::milliseconds{1'200};
-constexpr duration balance_interval = std::chrono::milliseconds{700};
+constexpr duration balance_interval = std::chrono::milliseconds{350};
 constexpr double busy_from = 0.55;  // share of the slots from which load is moved away
 constexpr double gap_from = 0.22;   // difference of shares worth a move
 constexpr double overshoot = 1.25;  // a move may exceed the wanted load by this factor
-constexpr std::size_t moves_at_once = 6;
+constexpr std::size_t moves_at_once = 12;
 constexpr std::size_t claims_max = 120;
 constexpr std::size_t merge_from = 18;  // claims from which neighbours are merged
 constexpr duration merge_age = std::chrono::seconds{3};
--- a/src/decisions/claims/steward.cpp
+++ b/src/decisions/claims/steward.cpp
@@ -169,7 +169,7 @@
       if (each.holder.agent.empty()) continue;
       owner& one = owners_[each.holder.agent];
       one.last_report = now;
-      one.last_ack = now;
+      one.right_until = now + timing_.restart_right;
     }
     notes_.push_back("office taken revision=" + std::to_string(revision));
   }
@@ -194,8 +194,11 @@
   one.suspected = false;
   one.lease_revision.reset();
   const bool alive = registration > one.ended && !one.deleting;
-  reply.renewed = alive && now + timing_.reply_right < office_until_;
-  if (reply.renewed) one.last_ack = now;
+  const duration wanted = report.restarting ? timing_.restart_right : timing_.reply_right;
+  if (alive && now + wanted < office_until_) {
+    reply.right = wanted;
+    one.right_until = std::max(one.right_until, now + wanted);
+  }
   for (const demand& each : demands_)
     if (each.from == report.holder.agent) reply.to_release.push_back(each.what);
   if (!report.released.empty()) next_write_ = std::min(next_write_, now);
@@ -218,7 +221,7 @@
       continue;
     }
     const bool lease_over = now >= one.lease_seen + timing_.lease_right + timing_.margin;
-    const bool reply_over = now >= one.last_ack + timing_.reply_right + timing_.margin;
+    const bool reply_over = now >= one.right_until + timing_.margin;
     if (!lease_over || !reply_over) continue;
     one.lease_call = true;
     one.deleting = true;
--- a/src/decisions/requests/repeat_budget.cpp
+++ b/src/decisions/requests/repeat_budget.cpp
@@ -25,6 +25,11 @@
   ++one.requests[static_cast<std::size_t>(one.newest % parts)];
 }
 
+void repeat_budget::charge(std::string_view service, double share, time_point now) {
+  counts& one = advanced(service, now);
+  one.repeats[static_cast<std::size_t>(one.newest % parts)] += share;
+}
+
 double repeat_budget::left(std::string_view service, std::size_t agents, time_point now) {
   const counts& one = advanced(service, now);
   const auto sum = [](const auto& values) {
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double failure_share_step = 0.12;
-constexpr double tie_share = 0.15;       // of the cheapest cost: within it the draw decides
+constexpr double tie_share = 0.03;       // of the cheapest cost: within it the draw decides
 constexpr double tried_penalty_s = 100;  // behind everybody that was not tried
 constexpr double aside_penalty_s = 10;   // behind everybody that can be reached
 
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -189,7 +189,7 @@
   const auto& word = upstream_.watch().last();
   if (word) {
     const bool heard = upstream_.watch().confirmed() && upstream_.watch().present(now);
-    const bool stays = !upstream_.watch().leaving_since() && !stopping_since_;
+    const bool stays = !upstream_.watch().leaving_since();
     claims_.upstream_is(heard ? std::optional(word->life) : std::nullopt, word->service, stays,
                         word->slots, now);
   }
@@ -264,7 +264,7 @@
   note("stop in_flight=" + std::to_string(callers_server_.open_requests()) +
        " gate=" + std::to_string(gate_.in_flight()));
   callers_server_.close_gently();
-  claims_.give_back();
+  claims_.leave();
 }
 
 void agent_process::advance_stop(time_point now) {
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -121,8 +121,8 @@
 std::string hop_line(const attempt& request, std::chrono::milliseconds time_left) {
   std::ostringstream out;
   out << hop_name << ": " << time_left.count() << ' ' << request.rank << ' '
-      << (request.idempotent ? 1 : 0) << ' ' << word(request.service) << ' '
-      << word(request.caller_service) << ' '
+      << (request.idempotent ? 1 : 0) << ' ' << (request.repeat ? 1 : 0) << ' '
+      << word(request.service) << ' ' << word(request.caller_service) << ' '
       << (request.key ? std::to_string(*request.key) : std::string(absent)) << ' '
       << request.state_version << ' ' << request.map_revision << "\r\n";
   return out.str();
@@ -132,11 +132,13 @@
   auto in = words_of(from, hop_name);
   std::int64_t left = 0;
   int idempotent = 0;
+  int repeat = 0;
   std::string key;
-  in >> left >> request.rank >> idempotent >> request.service >> request.caller_service >> key >>
-      request.state_version >> request.map_revision;
+  in >> left >> request.rank >> idempotent >> repeat >> request.service >> request.caller_service >>
+      key >> request.state_version >> request.map_revision;
   if (!in || left < 0) return std::nullopt;
   request.idempotent = idempotent == 1;
+  request.repeat = repeat == 1;
   request.service = from_word(request.service);
   request.caller_service = from_word(request.caller_service);
   request.key.reset();
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -27,6 +27,7 @@
   std::string caller_service;  ///< Of the VM where the request began.
   std::uint32_t rank = 0;
   bool idempotent = false;
+  bool repeat = false;  ///< An upstream has seen this request before.
   std::optional<claims::shard_key> key;
   time_point deadline;
   std::uint64_t state_version = 0;  ///< The desired state that the entry routed by.
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t candidates_max = 3;
 constexpr duration peer_timeout = std::chrono::milliseconds{700};
 constexpr duration refresh_interval = std::chrono::milliseconds{250};
-constexpr duration loads_interval = std::chrono::milliseconds{300};
+constexpr duration loads_interval = std::chrono::milliseconds{200};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
 
@@ -47,6 +47,7 @@
       log_(log),
       life_(life) {
   timing_.hold = std::min<duration>(timing_.hold, settings.hold_max);
+  timing_.restart_right = std::min<duration>(timing_.restart_right, settings.hold_max);
   gate_.on_missing_key([this](claims::shard_key key) {
     if (holder_) holder_->refused_by_upstream(key, boot_now());
   });
@@ -130,7 +131,8 @@
   return reply;
 }
 
-void claims_driver::give_back() {
+void claims_driver::leave() {
+  if (holder_) holder_->restart(boot_now());
   for (const auto& [service, one] : stewards_) one->give_back();
 }
 
@@ -248,7 +250,8 @@
   exchange_request request{.head = what.method + ' ' + what.target + " HTTP/1.1\r\nHost: " +
                                    gate_.upstream() + "\r\nContent-Type: application/json\r\n",
                            .body = std::make_shared<body_pipe>(),
-                           .deadline = boot_now() + timeout};
+                           .deadline = boot_now() + timeout,
+                           .send_before = boot_now() + timing_.send_limit};
   request.body->append(what.body);
   request.body->finish();
   cancellation nobody;
@@ -272,7 +275,9 @@
     note("grant_failed keys=" + std::to_string(what.keys.first) + "-" +
          std::to_string(what.keys.last) + " fence=" + std::to_string(what.fence) +
          " status=" + std::to_string(end.status) + " detail=\"" + end.detail + "\"");
-  if (holder_) holder_->grant_ended(what.call, result, boot_now());
+  if (!holder_) co_return;
+  holder_->grant_ended(what.call, result, boot_now());
+  for (const auto& action : holder_->tick(boot_now())) carry_out(action);
 }
 
 asio::awaitable<void> claims_driver::release(claims::release_keys what) {
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -43,8 +43,9 @@
   claims::steward_reply report_received(const claims::owner_report& report, time_point now);
   /// Looks for a newer map of `service`, at its steward or in the store.
   void refresh_map(const std::string& service);
-  /// Gives the stewards' offices back.
-  void give_back();
+  /// This process is to end: gives the stewards' offices back and has keys held until the next
+  /// process on this VM is there.
+  void leave();
   /// Returns true while this agent is a steward.
   [[nodiscard]] bool in_office(time_point now) const;
   [[nodiscard]] const claims::claim_holder* holder() const { return holder_.get(); }
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -111,6 +111,8 @@
   now.deadline =
       request->arrived + std::min(now.stamp.patience.value_or(route->timeout), route->timeout);
   budget_.requested(now.service, request->arrived);
+  if (now.service != settings_.service)
+    budget_.charge(now.service, gate_.repeat_share(), request->arrived);
 
   now.what = std::make_shared<attempt>();
   attempt& what = *now.what;
@@ -220,6 +222,7 @@
 
 asio::awaitable<attempt_outcome> entry::try_once(job& now, const std::string& agent) {
   now.what->state_version = known_.routes().version();
+  now.what->repeat = now.reached > 0;
   if (agent == settings_.name) {
     known_.directory.sent(agent);
     auto outcome = co_await gate_.serve(now.what);
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -94,6 +94,11 @@
           .service_time = service_time_};
 }
 
+double gate_service::repeat_share() const {
+  return static_cast<double>(repeats_running_) /
+         static_cast<double>(std::max<std::size_t>(gate_.running(), 1));
+}
+
 std::vector<claims::key_load> gate_service::key_loads(time_point now) {
   std::vector<claims::key_range> ranges;
   if (holder_ == nullptr) return {};
@@ -130,7 +135,9 @@
     co_return std::move(*refusal);
   }
   const auto began = boot_now();
+  if (what->repeat) ++repeats_running_;
   auto outcome = co_await send(what);
+  if (what->repeat) --repeats_running_;
   const auto now = boot_now();
   const bool ran = outcome.result == attempt_result::answered;
   if (ran) learn(now - began);
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -67,6 +67,8 @@
   [[nodiscard]] routing::load_statement load() const;
   /// Returns the loads by stretch of keys.
   [[nodiscard]] std::vector<claims::key_load> key_loads(time_point now);
+  /// Returns the share of the requests running now that their upstream sees again.
+  [[nodiscard]] double repeat_share() const;
   [[nodiscard]] duration service_time() const { return service_time_; }
   [[nodiscard]] std::size_t in_flight() const { return gate_.running() + gate_.waiting(); }
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
@@ -115,6 +117,7 @@
   std::function<void(claims::shard_key)> on_missing_key_;
   duration service_time_{};
   std::uint32_t connect_failures_ = 0;
+  std::uint32_t repeats_running_ = 0;
   gate_counts counts_;
 };
 
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -229,6 +229,11 @@
     end.result = left.requested() ? exchange_result::cancelled : exchange_result::not_connected;
     co_return end;
   }
+  if (request.send_before && boot_now() > *request.send_before) {
+    pool.release(std::move(connection));
+    end.detail = "too late to be sent";
+    co_return end;
+  }
   end.reused = connection->uses > 0;
   left.on_request([connection] {
     error_code ignored;
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -83,6 +83,8 @@
   /// How long the other side keeps the connection open idle, if it states that.
   std::optional<duration> (*idle_limit_of)(const answer_head&) = nullptr;
   time_point deadline;  ///< For the whole answer, or its first part if it is large.
+  /// If set: what could not be sent by then is not sent at all.
+  std::optional<time_point> send_before;
 };
 
 /// How an exchange ended.
--- a/src/fleet/internal/key_meter.cpp
+++ b/src/fleet/internal/key_meter.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr duration half_life = std::chrono::milliseconds{900};
+constexpr duration half_life = std::chrono::milliseconds{600};
 constexpr duration decay_interval = std::chrono::milliseconds{100};
 constexpr double forgotten_below = 0.02;
 constexpr double stretches = 20;
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -134,7 +134,8 @@
     fetching_ = true;
     asio::co_spawn(executor_, fetch_state(peer), asio::detached);
   }
-  if (map_revision > known_.map_revision(service)) claims_.refresh_map(service);
+  static_cast<void>(service);
+  static_cast<void>(map_revision);
 }
 
 asio::awaitable<void> peer_side::fetch_state(endpoint peer) {
