--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -153,9 +153,6 @@
   const auto version = state->version;
   if (!known_.put_state(std::move(*state), text)) return;
   const auto& in_force = known_.routes().state();
-  std::uint32_t ranks = 1;
-  for (const auto& route : in_force.routes) ranks = std::max(ranks, route.rank + 1);
-  gate_.set_ranks(std::min(ranks, 8U));
   server_limits limits;
   limits.header_bytes = static_cast<std::uint32_t>(in_force.limits.header_bytes);
   limits.body_bytes = in_force.limits.body_bytes;
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -118,9 +118,14 @@
   return lines_of(from, [](std::string_view) { return true; });
 }
 
-std::string hop_line(const attempt& request, std::chrono::milliseconds time_left) {
+std::string hop_line(const attempt& request, time_point now) {
+  using std::chrono::milliseconds;
+  const auto ms = [](duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+  };
   std::ostringstream out;
-  out << hop_name << ": " << time_left.count() << ' ' << request.rank << ' '
+  out << hop_name << ": " << ms(request.deadline - now) << ' ' << ms(request.target_time - now)
+      << ' ' << ms(request.latency_target) << ' ' << request.rank << ' '
       << (request.idempotent ? 1 : 0) << ' ' << (request.repeat ? 1 : 0) << ' '
       << word(request.service) << ' ' << word(request.caller_service) << ' '
       << (request.key ? std::to_string(*request.key) : std::string(absent)) << ' '
@@ -128,15 +133,21 @@
   return out.str();
 }
 
-std::optional<std::chrono::milliseconds> read_hop(const fields& from, attempt& request) {
+bool read_hop(const fields& from, time_point now, attempt& request) {
+  using std::chrono::milliseconds;
   auto in = words_of(from, hop_name);
   std::int64_t left = 0;
+  std::int64_t target_left = 0;
+  std::int64_t target = 0;
   int idempotent = 0;
   int repeat = 0;
   std::string key;
-  in >> left >> request.rank >> idempotent >> repeat >> request.service >> request.caller_service >>
-      key >> request.state_version >> request.map_revision;
-  if (!in || left < 0) return std::nullopt;
+  in >> left >> target_left >> target >> request.rank >> idempotent >> repeat >> request.service >>
+      request.caller_service >> key >> request.state_version >> request.map_revision;
+  if (!in || left < 0) return false;
+  request.deadline = now + milliseconds{left};
+  request.target_time = now + milliseconds{target_left};
+  request.latency_target = milliseconds{target};
   request.idempotent = idempotent == 1;
   request.repeat = repeat == 1;
   request.service = from_word(request.service);
@@ -145,10 +156,10 @@
   if (key != absent) {
     std::istringstream number(key);
     claims::shard_key value = 0;
-    if (!(number >> value) || value > claims::last_shard_key) return std::nullopt;
+    if (!(number >> value) || value > claims::last_shard_key) return false;
     request.key = value;
   }
-  return std::chrono::milliseconds{left};
+  return true;
 }
 
 std::string load_line(const routing::load_statement& load) {
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -29,6 +29,8 @@
   bool idempotent = false;
   bool repeat = false;  ///< An upstream has seen this request before.
   std::optional<claims::shard_key> key;
+  duration latency_target{};  ///< Latency within which an answer has its full worth.
+  time_point target_time;     ///< The end of that latency, from the request's arrival.
   time_point deadline;
   std::uint64_t state_version = 0;  ///< The desired state that the entry routed by.
   std::uint64_t map_revision = 0;   ///< The claim map that the entry routed by.
@@ -92,9 +94,10 @@
 
 /// @name The lines that agents add towards each other.
 /// @{
-std::string hop_line(const attempt& request, std::chrono::milliseconds time_left);
-/// Reads the hop line into `request`. Returns the time left, or nothing if there is no sound line.
-std::optional<std::chrono::milliseconds> read_hop(const fields& from, attempt& request);
+std::string hop_line(const attempt& request, time_point now);
+/// Reads the hop line of a request that arrived at `now` into `request`. Returns false if there is
+/// no sound line.
+bool read_hop(const fields& from, time_point now, attempt& request);
 std::string load_line(const routing::load_statement& load);
 std::string refusal_line(const attempt_outcome& outcome);
 std::string version_line(std::uint64_t state_version, std::uint64_t map_revision);
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -126,6 +126,8 @@
   what.rank = route->rank;
   what.idempotent = now.idempotent;
   if (now.keyed) what.key = now.stamp.key;
+  what.latency_target = route->target;
+  what.target_time = request->arrived + route->target;
   what.deadline = now.deadline;
   what.left = &request->left;
 
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -18,9 +18,6 @@
 constexpr double key_wait_share = 0.4;  // of the time left
 constexpr duration answer_grace = std::chrono::milliseconds{40};
 constexpr double service_time_step = 0.05;
-constexpr std::uint32_t queue_capacity = 1'024;
-// The first rank keeps most of the slots; the others keep a floor that grows with urgency.
-constexpr double floor_of_lower_ranks = 0.04;
 constexpr duration idle_limit_unstated = std::chrono::seconds{4};
 constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
 constexpr unsigned first_failure_status = 300;
@@ -29,17 +26,6 @@
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
-requests::gate_settings gate_settings_for(std::uint32_t ranks, std::uint32_t slots) {
-  requests::gate_settings settings{.slots = slots,
-                                   .queue_capacity = queue_capacity,
-                                   .algorithm = requests::limit_algorithm::fixed};
-  for (std::uint32_t rank = 0; rank < std::max(1U, ranks); ++rank)
-    settings.ranks.push_back({.name = std::to_string(rank),
-                              .floor = rank == 0 ? 0 : floor_of_lower_ranks,
-                              .target = std::chrono::seconds{5}});
-  return settings;
-}
-
 std::string stated_id(const answer_head& head) {
   return platform::read_answer(head.result_int(), head).id;
 }
@@ -61,7 +47,7 @@
     : executor_(executor),
       settings_(std::move(settings)),
       pool_(executor, {.idle_limit = idle_limit_unstated}),
-      gate_(gate_settings_for(1, 1)) {}
+      queue_(requests::admission_settings{}) {}
 
 void gate_service::upstream_is(std::optional<routing::upstream_life> life,
                                const std::string& service, std::uint32_t slots) {
@@ -73,30 +59,27 @@
   service_ = service;
   if (slots == slots_) return;
   slots_ = slots;
-  gate_.reconfigure(gate_settings_for(ranks_, slots_), boot_now());
-}
-
-void gate_service::set_ranks(std::uint32_t count) {
-  if (count == ranks_) return;
-  ranks_ = count;
-  gate_.reconfigure(gate_settings_for(ranks_, slots_), boot_now());
+  queue_.set_slots(slots);
 }
 
 void gate_service::tick(time_point now) {
   pool_.sweep(now);
-  if (gate_.waiting() + gate_.running() > 0) carry_out(gate_.tick(now));
+  if (queue_.waiting() == 0) return;
+  requests::admission_actions actions;
+  queue_.tick(now, actions);
+  carry_out(actions);
 }
 
 routing::load_statement gate_service::load() const {
-  return {.running = static_cast<std::uint32_t>(gate_.running()),
-          .waiting = static_cast<std::uint32_t>(gate_.waiting()),
+  return {.running = static_cast<std::uint32_t>(queue_.running()),
+          .waiting = static_cast<std::uint32_t>(queue_.waiting()),
           .slots = slots_,
           .service_time = service_time_};
 }
 
 double gate_service::repeat_share() const {
   return static_cast<double>(repeats_running_) /
-         static_cast<double>(std::max<std::size_t>(gate_.running(), 1));
+         static_cast<double>(std::max<std::size_t>(queue_.running(), 1));
 }
 
 std::vector<claims::key_load> gate_service::key_loads(time_point now) {
@@ -141,13 +124,8 @@
   const auto now = boot_now();
   const bool ran = outcome.result == attempt_result::answered;
   if (ran) learn(now - began);
-  const auto result = ran ? requests::attempt_result::answered
-                      : outcome.result == attempt_result::cancelled
-                          ? requests::attempt_result::cancelled
-                      : outcome.why == refusal::shed ? requests::attempt_result::shed
-                                                     : requests::attempt_result::error;
-  requests::gate_actions actions;
-  gate_.finished(number, result, now, actions);
+  requests::admission_actions actions;
+  queue_.finished(number, ran, now, actions);
   carry_out(actions);
   ++(ran                                         ? counts_.answered
      : outcome.result == attempt_result::not_run ? counts_.refused
@@ -183,18 +161,16 @@
 }
 
 asio::awaitable<std::optional<attempt_outcome>> gate_service::await_turn(
-    std::shared_ptr<attempt> what, requests::attempt_id number) {
+    std::shared_ptr<attempt> what, requests::admission_id number) {
   const auto waits = std::make_shared<waiter>(executor_);
   waiters_[number] = waits;
-  requests::gate_actions actions;
-  gate_.offer({.attempt = number,
-               .service = {},
-               .hash = number,
-               .caller = what->caller_service,
-               .rank = std::min(what->rank, std::max(1U, ranks_) - 1),
-               .idempotent = what->idempotent,
-               .deadline = what->deadline},
-              boot_now(), actions);
+  requests::admission_actions actions;
+  queue_.offer({.id = number,
+                .rank = what->rank,
+                .target = what->latency_target,
+                .target_time = what->target_time,
+                .deadline = what->deadline},
+               boot_now(), actions);
   carry_out(actions);
   if (!waits->started && !waits->refused) {
     what->left->on_request([waits] {
@@ -209,36 +185,32 @@
   waiters_.erase(number);
   const auto now = boot_now();
   if (waits->refused)
-    co_return refused(refusal::overloaded, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                               waits->refused->retry_after));
+    co_return refused(refusal::overloaded,
+                      std::chrono::duration_cast<std::chrono::milliseconds>(*waits->refused));
   std::optional<attempt_outcome> closed;
   if (waits->left || what->left->requested())
     closed = attempt_outcome{.result = attempt_result::cancelled};
   else if (waits->started)
     closed = closed_for(*what, now);
   if (!closed) co_return std::nullopt;
-  requests::gate_actions freed;
+  requests::admission_actions freed;
   if (waits->started)
-    gate_.finished(number, requests::attempt_result::cancelled, now, freed);
+    queue_.finished(number, false, now, freed);
   else
-    gate_.abandoned(number, now, freed);
+    queue_.abandoned(number);
   carry_out(freed);
   co_return closed;
 }
 
-void gate_service::carry_out(const requests::gate_actions& actions) {
+void gate_service::carry_out(const requests::admission_actions& actions) {
   for (const auto& each : actions) {
-    if (const auto* start = std::get_if<requests::start_attempt>(&each)) {
-      if (const auto found = waiters_.find(start->attempt); found != waiters_.end()) {
-        found->second->started = true;
-        found->second->changed.cancel();
-      }
-    } else if (const auto* refuse = std::get_if<requests::refuse_attempt>(&each)) {
-      if (const auto found = waiters_.find(refuse->attempt); found != waiters_.end()) {
-        found->second->refused = *refuse;
-        found->second->changed.cancel();
-      }
-    }
+    const auto found = waiters_.find(each.id);
+    if (found == waiters_.end()) continue;
+    if (each.what == requests::admission_action::kind::start)
+      found->second->started = true;
+    else
+      found->second->refused = each.retry_after;
+    found->second->changed.cancel();
   }
 }
 
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -14,7 +14,7 @@
 #include "fleet/internal/http_client.h"
 #include "fleet/internal/key_meter.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
-#include "masticshunt/decisions/requests/gate.h"
+#include "masticshunt/decisions/requests/admission_queue.h"
 
 namespace masticshunt::fleet {
 
@@ -52,8 +52,6 @@
   void upstream_leaves(std::optional<time_point> when) { leaving_since_ = when; }
   /// This agent takes nothing new for its upstream.
   void stop() { stopping_ = true; }
-  /// Sets the ranks that the desired state knows.
-  void set_ranks(std::uint32_t count);
   /// Sets the owner's side of claims; null if the service is not divided by key.
   void set_holder(claims::claim_holder* holder) { holder_ = holder; }
   /// Sets who is told that the upstream lacks a key that it should hold.
@@ -70,7 +68,7 @@
   /// Returns the share of the requests running now that their upstream sees again.
   [[nodiscard]] double repeat_share() const;
   [[nodiscard]] duration service_time() const { return service_time_; }
-  [[nodiscard]] std::size_t in_flight() const { return gate_.running() + gate_.waiting(); }
+  [[nodiscard]] std::size_t in_flight() const { return queue_.running() + queue_.waiting(); }
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
   /// Returns the connections to the upstream, for calls besides requests.
   [[nodiscard]] connection_pool& pool() { return pool_; }
@@ -85,28 +83,27 @@
     explicit waiter(boost::asio::any_io_executor executor) : changed(std::move(executor)) {}
     boost::asio::steady_timer changed;
     bool started = false;
-    std::optional<requests::refuse_attempt> refused;
+    std::optional<duration> refused;  ///< When to come back.
     bool left = false;
   };
 
   boost::asio::awaitable<std::optional<attempt_outcome>> await_key(std::shared_ptr<attempt> what);
   boost::asio::awaitable<std::optional<attempt_outcome>> await_turn(std::shared_ptr<attempt> what,
-                                                                    requests::attempt_id number);
+                                                                    requests::admission_id number);
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> what);
   attempt_outcome judge(const attempt& what, exchange_end end);
   [[nodiscard]] std::optional<attempt_outcome> closed_for(const attempt& what,
                                                           time_point now) const;
-  void carry_out(const requests::gate_actions& actions);
+  void carry_out(const requests::admission_actions& actions);
   void learn(duration took);
 
   boost::asio::any_io_executor executor_;
   gate_settings settings_;
   connection_pool pool_;
-  requests::gate gate_;
-  std::uint32_t ranks_ = 0;
+  requests::admission_queue queue_;
   std::uint32_t slots_ = 1;
-  std::map<requests::attempt_id, std::shared_ptr<waiter>> waiters_;
-  requests::attempt_id next_number_ = 1;
+  std::map<requests::admission_id, std::shared_ptr<waiter>> waiters_;
+  requests::admission_id next_number_ = 1;
 
   std::optional<routing::upstream_life> life_;
   std::string service_;
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -42,8 +42,7 @@
 
 void peer_side::handle(std::shared_ptr<server_request> request) {
   auto what = std::make_shared<attempt>();
-  const auto left = read_hop(request->head, *what);
-  if (!left) {
+  if (!read_hop(request->head, request->arrived, *what)) {
     asio::co_spawn(executor_, serve_call(std::move(request)), asio::detached);
     return;
   }
@@ -51,7 +50,6 @@
   what->method = text_of(request->head.method_string());
   what->target = text_of(request->head.target());
   what->lines = lines_towards_upstream(request->head);
-  what->deadline = request->arrived + *left;
   what->left = &request->left;
   what->body = body_of(*request);
   note_versions(request->sender + ":" + std::to_string(settings_.peer_port), what->service,
@@ -172,7 +170,7 @@
   known_.directory.sent(agent);
   exchange_request request;
   request.head =
-      what->method + ' ' + what->target + " HTTP/1.1\r\n" + hop_line(*what, left) + what->lines;
+      what->method + ' ' + what->target + " HTTP/1.1\r\n" + hop_line(*what, now) + what->lines;
   request.body = what->body;
   request.is_head = what->method == "HEAD";
   request.deadline = what->deadline + answer_grace;
