Replace a lost steward once most owners have forsaken it

Change: an owner that hears nothing for 1.3 s forsakes the steward's life and tells the candidates; with most owners' word a candidate writes the map at once, and only owners that have not given their word keep their keys until the old right is over.

--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -91,6 +91,8 @@
                    time_point now);
   /// This agent is about to restart while its upstream goes on: keys are granted for longer.
   void restart(time_point now);
+  /// Sets the agents that may become the next steward, the first choice first.
+  void set_candidates(std::vector<endpoint> candidates) { candidates_ = std::move(candidates); }
   /// Sets what the next report says of the load.
   void set_load(std::vector<key_load> loads, duration service_time);
   /// Takes in a map from anywhere; only a newer one counts.
@@ -148,7 +150,7 @@
   void lease_due(time_point now, holder_actions& out);
   void report_due(time_point now, holder_actions& out);
   void revoke(const std::string& why);
-  [[nodiscard]] owner_report make_report() const;
+  [[nodiscard]] owner_report make_report(time_point now) const;
 
   std::string service_;
   std::string agent_;
@@ -174,6 +176,9 @@
   time_point right_by_lease_{};
   time_point last_reply_{};
   bool report_in_flight_ = false;
+  std::uint64_t forsaken_life_ = 0;
+  std::vector<endpoint> candidates_;
+  std::size_t next_candidate_ = 0;
   bool report_now_ = false;
   time_point next_report_{};
   time_point began_;
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -111,6 +111,9 @@
   std::uint32_t slots = 1;
   duration service_time{};
   std::uint64_t map_revision = 0;
+  /// The life of a steward whose replies this owner accepts no more; zero: none.
+  std::uint64_t forsaken_life = 0;
+  duration right_left{};  ///< Of the right that replies gave.
   std::vector<released_range> released;
   std::vector<key_load> loads;
 
@@ -121,6 +124,7 @@
 struct steward_reply {
   duration right{};  ///< Counted from when the owner sent its report; zero if not renewed.
   bool is_steward = false;
+  std::uint64_t steward_life = 0;
   std::optional<claim_map> map;  ///< Set if it is newer than the owner's.
   std::vector<released_range> to_release;
 
@@ -142,6 +146,7 @@
   std::size_t grants_at_once = 4;
   duration report_interval = std::chrono::milliseconds{300};
   duration steward_silence = std::chrono::milliseconds{800};  ///< Then leases are renewed too.
+  duration forsake_after = std::chrono::milliseconds{1'300};  ///< Of a silent steward.
   duration lease_interval = std::chrono::milliseconds{600};
   duration owner_silence = std::chrono::milliseconds{1'000};    ///< Then an owner is suspected.
   duration steward_beat = std::chrono::milliseconds{2'500};     ///< Between writes that renew.
--- a/include/masticshunt/decisions/claims/steward.h
+++ b/include/masticshunt/decisions/claims/steward.h
@@ -55,7 +55,9 @@
 /// An owner changes only if it gave the range back itself, if its upstream's life is over, or if
 /// its lease object, unchanged for as long as a renewal gives a right, could be deleted: then no
 /// renewal can have given it a right since. The office itself changes in the same way: a
-/// candidate writes the map over a revision that stood unchanged for `steward_right`.
+/// candidate writes the map over a revision that stood unchanged for `steward_right`. It may write
+/// sooner once most owners have forsaken the steward; owners that have not may still get replies
+/// from it, and keep their keys until its right is over.
 /// Life cycle: every agent has one for each keyed service; feed `tick` and all answers.
 /// Thread safety: none.
 class steward {
@@ -83,7 +85,9 @@
   void give_back() { leaving_ = true; }
 
   /// Returns true while this agent holds the office.
-  [[nodiscard]] bool in_office(time_point now) const { return holds_ && now < office_until_; }
+  [[nodiscard]] bool in_office(time_point now) const {
+    return holds_ && !leaving_ && now < office_until_;
+  }
   /// Returns the newest map known to be in the store; its revision is zero if none is known.
   [[nodiscard]] const claim_map& map() const { return map_; }
 
@@ -91,6 +95,7 @@
   struct owner {
     owner_report report;
     time_point last_report{};
+    time_point forsaken{};     ///< When it last said that it forsakes the present steward.
     time_point right_until{};  ///< By the replies it was sent.
     std::uint64_t ended = 0;   ///< Registrations up to this one are over.
     bool suspected = false;
@@ -108,6 +113,8 @@
 
   void hold_office(time_point now, steward_actions& out);
   void seek_office(time_point now, steward_actions& out);
+  [[nodiscard]] bool forsaken_by_most(time_point now) const;
+  void take_office(const claim_map& written, time_point now);
   void suspect_owners(time_point now, steward_actions& out);
   void propose(claim_map next, time_point now, steward_actions& out);
   void adopt(const claim_map& map, time_point now);
@@ -142,6 +149,8 @@
   bool read_in_flight_ = false;
 
   bool holds_ = false;
+  bool forsaken_ = false;            ///< An owner accepts no replies of this life in office.
+  time_point earlier_office_end_{};  ///< Of the steward before.
   time_point office_since_{};
   time_point office_until_{};
   time_point last_write_{};
@@ -157,6 +166,7 @@
   std::vector<demand> demands_;
   std::map<std::uint64_t, time_point> fence_since_;
   time_point next_balance_{};
+  time_point next_shares_note_{};
   std::vector<std::string> notes_;
 };
 
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -79,6 +79,11 @@
 
 void claim_holder::map_seen(const claim_map& map, time_point now) {
   if (map.service != service_ || map.revision <= map_.revision) return;
+  if (map.steward_life != map_.steward_life) {
+    forsaken_life_ = 0;
+    last_reply_ = now;
+    report_now_ = true;
+  }
   map_ = map;
   reconcile(now);
 }
@@ -108,7 +113,7 @@
 void claim_holder::steward_answered(const std::optional<steward_reply>& reply, time_point sent,
                                     time_point now) {
   report_in_flight_ = false;
-  if (!reply || !reply->is_steward) {
+  if (!reply || !reply->is_steward || reply->steward_life == forsaken_life_) {
     next_report_ = now + retry_after_failure;
     return;
   }
@@ -323,11 +328,22 @@
 
 void claim_holder::report_due(time_point now, holder_actions& out) {
   if (report_in_flight_ || map_.steward_address.empty()) return;
+  if (registration_ && now - last_reply_ >= timing_.forsake_after && !candidates_.empty() &&
+      forsaken_life_ == 0) {
+    forsaken_life_ = map_.steward_life;
+    notes_.push_back("steward forsaken agent=" + map_.steward);
+  }
   if (now < next_report_ && !report_now_) return;
   report_in_flight_ = true;
   report_now_ = false;
   next_report_ = now + timing_.report_interval;
-  out.emplace_back(send_report{map_.steward_address, make_report()});
+  endpoint to = map_.steward_address;
+  if (forsaken_life_ != 0) {
+    // The steward is told too: if it lives, it begins a new life in office.
+    const std::size_t place = next_candidate_++ % (candidates_.size() + 1);
+    if (place < candidates_.size()) to = candidates_[place];
+  }
+  out.emplace_back(send_report{std::move(to), make_report(now)});
 }
 
 void claim_holder::revoke(const std::string& why) {
@@ -342,7 +358,7 @@
   right_by_lease_ = {};
 }
 
-owner_report claim_holder::make_report() const {
+owner_report claim_holder::make_report(time_point now) const {
   owner_report report{.service = service_,
                       .holder = {agent_, registration_.value_or(0)},
                       .address = address_,
@@ -352,6 +368,8 @@
                       .slots = slots_,
                       .service_time = service_time_,
                       .map_revision = map_.revision,
+                      .forsaken_life = forsaken_life_,
+                      .right_left = std::max(duration{}, right_by_reply_ - now),
                       .loads = loads_};
   for (const piece& each : pieces_)
     if (each.at == stage::released) report.released.push_back({each.keys, each.fence, each.left});
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -151,6 +151,9 @@
           {"service_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
           {"map", report.map_revision},
+          {"forsaken", report.forsaken_life},
+          {"right_left_us",
+           std::chrono::duration_cast<std::chrono::microseconds>(report.right_left).count()},
           {"released", pack(report.released)},
           {"loads", std::move(loads)}};
 }
@@ -165,6 +168,8 @@
   report.slots = in.at("slots").get<std::uint32_t>();
   report.service_time = std::chrono::microseconds{in.at("service_us").get<std::int64_t>()};
   report.map_revision = in.at("map").get<std::uint64_t>();
+  report.forsaken_life = in.at("forsaken").get<std::uint64_t>();
+  report.right_left = std::chrono::microseconds{in.at("right_left_us").get<std::int64_t>()};
   report.released = unpack_released(in.at("released"));
   for (const json& each : in.at("loads"))
     report.loads.push_back({unpack_range(each.at(0)), each.at(1).get<double>()});
@@ -174,6 +179,7 @@
 json pack(const steward_reply& reply) {
   json out{{"right_us", std::chrono::duration_cast<std::chrono::microseconds>(reply.right).count()},
            {"is_steward", reply.is_steward},
+           {"life", reply.steward_life},
            {"to_release", pack(reply.to_release)}};
   if (reply.map) out["map"] = pack(*reply.map);
   return out;
@@ -182,6 +188,7 @@
   steward_reply reply;
   reply.right = std::chrono::microseconds{in.at("right_us").get<std::int64_t>()};
   reply.is_steward = in.at("is_steward").get<bool>();
+  reply.steward_life = in.at("life").get<std::uint64_t>();
   reply.to_release = unpack_released(in.at("to_release"));
   if (const auto map = in.find("map"); map != in.end()) reply.map = unpack_map(*map);
   return reply;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t moves_at_once = 12;
 constexpr std::size_t claims_max = 120;
 constexpr std::size_t merge_from = 18;  // claims from which neighbours are merged
+constexpr duration shares_note_interval = std::chrono::seconds{1};
 constexpr duration merge_age = std::chrono::seconds{3};
 // Load assumed of all keys together, in slots, while nothing has been observed.
 constexpr double assumed_load = 0.5;
@@ -158,6 +159,17 @@
   if (!demands_.empty() || map_.claims.size() > claims_max) return;
   auto shares = loads(map_.claims, now);
   if (shares.size() < 2) return;
+  if (now >= next_shares_note_) {
+    next_shares_note_ = now + shares_note_interval;
+    std::string text = "load claims=" + std::to_string(map_.claims.size());
+    for (const auto& [agent, share] : shares) {
+      const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+          owners_.at(agent).report.service_time);
+      text += ' ' + agent + '=' + std::to_string(static_cast<int>(share * 100)) + "%/" +
+              std::to_string(ms.count()) + "ms";
+    }
+    notes_.push_back(std::move(text));
+  }
   for (std::size_t moves = 0; moves < moves_at_once; ++moves) {
     const auto [least, most] =
         std::ranges::minmax_element(shares, {}, [](const auto& entry) { return entry.second; });
--- a/src/decisions/claims/steward.cpp
+++ b/src/decisions/claims/steward.cpp
@@ -1,6 +1,7 @@
 #include "masticshunt/decisions/claims/steward.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace masticshunt::claims {
@@ -10,6 +11,8 @@
 constexpr duration candidate_stagger = std::chrono::milliseconds{400};
 constexpr duration read_interval = std::chrono::milliseconds{2'000};
 constexpr duration retry_interval = std::chrono::milliseconds{250};
+constexpr duration forsaken_fresh = std::chrono::milliseconds{1'200};
+constexpr duration first_office_after = std::chrono::milliseconds{1'500};
 constexpr duration demand_lifetime = std::chrono::seconds{6};
 
 }  // namespace
@@ -56,12 +59,21 @@
   const bool mine_before = map_.revision > 0 && map_.steward == agent_;
   if (!place_ && !mine_before) return;
   const duration stagger = candidate_stagger * (mine_before ? 0 : place_.value_or(0));
-  const bool none = store_known_ && map_.revision == 0 && now >= began_ + stagger;
+  const bool none =
+      store_known_ && map_.revision == 0 && now >= began_ + first_office_after + stagger;
   const bool given_back =
       map_.revision > 0 && map_.steward.empty() && now >= revision_since_ + stagger;
   const bool abandoned = map_.revision > 0 &&
                          now >= revision_since_ + timing_.steward_right + timing_.margin + stagger;
-  if (none || given_back || abandoned || mine_before) {
+  const bool forsaken = map_.revision > 0 && forsaken_by_most(now);
+  if (none || given_back || abandoned || mine_before || forsaken) {
+    const bool known_over = none || abandoned;
+    earlier_office_end_ = known_over ? now
+                                     : std::min(now + timing_.restart_right,
+                                                revision_since_ + timing_.steward_right) +
+                                           timing_.margin;
+    if (forsaken && !given_back && !mine_before)
+      earlier_office_end_ = revision_since_ + timing_.steward_right + timing_.margin;
     claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
     next.steward = agent_;
     next.steward_address = address_;
@@ -86,7 +98,9 @@
   demand_drains(now);
   demand_balance(now);
   claim_map next = next_map(now);
-  const bool changed = next.claims != map_.claims;
+  if (std::exchange(forsaken_, false)) ++life_;
+  next.steward_life = life_;
+  const bool changed = next.claims != map_.claims || life_ != map_.steward_life;
   if (!changed && now - last_write_ < timing_.steward_beat) return;
   propose(std::move(next), now, out);
 }
@@ -162,15 +176,7 @@
   next_write_ = now + std::chrono::milliseconds{100};
   store_known_ = true;
   if (!was_in_office && holds_) {
-    office_since_ = now;
-    demands_.clear();
-    owners_.clear();
-    for (const claim& each : written.claims) {
-      if (each.holder.agent.empty()) continue;
-      owner& one = owners_[each.holder.agent];
-      one.last_report = now;
-      one.right_until = now + timing_.restart_right;
-    }
+    take_office(written, now);
     notes_.push_back("office taken revision=" + std::to_string(revision));
   }
   adopt(written, now);
@@ -182,8 +188,15 @@
 }
 
 steward_reply steward::report_received(const owner_report& report, time_point now) {
-  steward_reply reply{.is_steward = in_office(now)};
-  if (!reply.is_steward || report.service != service_) return reply;
+  steward_reply reply{.is_steward = in_office(now), .steward_life = life_};
+  if (report.service != service_) return reply;
+  if (!reply.is_steward) {
+    owner& candidate_of = owners_[report.holder.agent];
+    candidate_of.report = report;
+    if (report.forsaken_life != 0 && report.forsaken_life == map_.steward_life)
+      candidate_of.forsaken = now;
+    return reply;
+  }
   if (report.map_revision < map_.revision) reply.map = map_;
   owner& one = owners_[report.holder.agent];
   const std::uint64_t registration = report.holder.registration;
@@ -194,6 +207,7 @@
   one.suspected = false;
   one.lease_revision.reset();
   const bool alive = registration > one.ended && !one.deleting;
+  if (report.forsaken_life == life_) forsaken_ = true;
   const duration wanted = report.restarting ? timing_.restart_right : timing_.reply_right;
   if (alive && now + wanted < office_until_) {
     reply.right = wanted;
@@ -205,6 +219,36 @@
   return reply;
 }
 
+bool steward::forsaken_by_most(time_point now) const {
+  std::set<std::string> holders;
+  for (const claim& each : map_.claims)
+    if (!each.holder.agent.empty() && each.holder.agent != map_.steward)
+      holders.insert(each.holder.agent);
+  const auto agree = std::ranges::count_if(holders, [&](const std::string& agent) {
+    const auto found = owners_.find(agent);
+    return found != owners_.end() && found->second.forsaken > time_point{} &&
+           now - found->second.forsaken < forsaken_fresh &&
+           found->second.report.forsaken_life == map_.steward_life;
+  });
+  return agree > 0 && 2 * static_cast<std::size_t>(agree) > holders.size();
+}
+
+void steward::take_office(const claim_map& written, time_point now) {
+  office_since_ = now;
+  demands_.clear();
+  const auto before = std::exchange(owners_, {});
+  for (const claim& each : written.claims) {
+    if (each.holder.agent.empty() || owners_.contains(each.holder.agent)) continue;
+    owner& one = owners_[each.holder.agent];
+    one.last_report = now;
+    one.right_until = std::max(now, earlier_office_end_);
+    const auto found = before.find(each.holder.agent);
+    if (found == before.end() || found->second.forsaken == time_point{}) continue;
+    // It accepts nothing more of the earlier steward; what it had from it ends by its own word.
+    one.right_until = found->second.forsaken + found->second.report.right_left;
+  }
+}
+
 void steward::suspect_owners(time_point now, steward_actions& out) {
   for (auto& [agent, one] : owners_) {
     const std::string& name = agent;
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -95,6 +95,13 @@
         std::ranges::find(order, settings_.name, &std::pair<bool, std::string>::second);
     const auto index = static_cast<std::size_t>(place - order.begin());
     const bool candidate = place != order.end() && index < candidates_max;
+    if (holder_ && holder_service_ == name) {
+      std::vector<endpoint> candidates;
+      for (std::size_t i = 0; i < std::min(order.size(), candidates_max); ++i)
+        if (order[i].second != one->map().steward)
+          candidates.push_back(known_.directory.find(order[i].second)->address);
+      holder_->set_candidates(std::move(candidates));
+    }
     candidate_[name] = candidate;
     one->set_candidate(candidate ? std::optional(index) : std::nullopt);
   }
