--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -26,9 +26,9 @@
 struct renew_lease {
   std::uint64_t revision = 0;
 };
-/// Send the report to the steward; answer with `steward_answered`.
+/// Send the report to the leader; answer with `leader_answered`.
 struct send_report {
-  endpoint steward;
+  endpoint leader;
   owner_report report;
 };
 /// Grant keys to the upstream for `hold`; answer with `grant_ended`.
@@ -74,8 +74,8 @@
 
 /// Decides when the upstream beside an agent may hold which keys.
 ///
-/// The right to hold comes from the steward's replies, or from renewing the lease object while the
-/// steward is silent; each counts from when it was asked for. No grant outlasts the right. So
+/// The right to hold comes from the leader's replies, or from renewing the lease object while the
+/// leader is silent; each counts from when it was asked for. No grant outlasts the right. So
 /// whoever knows that the right has ended knows that the upstream holds nothing more.
 /// Life cycle: one for the process; feed `tick` every `tick_interval` and every answer.
 /// Thread safety: none.
@@ -91,7 +91,7 @@
                    time_point now);
   /// This agent is about to restart while its upstream goes on: keys are granted for longer.
   void restart(time_point now);
-  /// Sets the agents that may become the next steward, the first choice first.
+  /// Sets the agents that may become the next leader, the first choice first.
   void set_candidates(std::vector<endpoint> candidates) { candidates_ = std::move(candidates); }
   /// Sets what the next report says of the load.
   void set_load(std::vector<key_load> loads, duration service_time);
@@ -99,8 +99,8 @@
   void map_seen(const claim_map& map, time_point now);
   /// The store answered a call about the lease object that was sent at `sent`.
   void lease_seen(const lease_answer& answer, time_point sent, time_point now);
-  /// The steward answered a report sent at `sent`, or did not (nothing).
-  void steward_answered(const std::optional<steward_reply>& reply, time_point sent, time_point now);
+  /// The leader answered a report sent at `sent`, or did not (nothing).
+  void leader_answered(const std::optional<leader_reply>& reply, time_point sent, time_point now);
   /// The upstream answered a grant sent at `sent`.
   void grant_ended(grant_call call, grant_result result, time_point now);
   /// The upstream answered a release: `handover` is set if it did.
@@ -176,7 +176,7 @@
   time_point right_by_lease_{};
   time_point last_reply_{};
   bool report_in_flight_ = false;
-  std::uint64_t forsaken_life_ = 0;
+  std::uint64_t rejected_life_ = 0;
   std::vector<endpoint> candidates_;
   std::size_t next_candidate_ = 0;
   bool report_now_ = false;
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -58,14 +58,14 @@
   bool operator==(const claim&) const = default;
 };
 
-/// All claims of one service, and the steward: the only agent that may change them.
+/// All claims of one service, and the leader: the only agent that may change them.
 struct claim_map {
   std::string service;
   std::uint64_t revision = 0;  ///< The store's; zero before the first write.
-  std::uint64_t beat = 0;      ///< Counts writes; with `steward_life` it identifies a write.
-  std::string steward;         ///< Empty once the steward has given the office back.
-  endpoint steward_address;
-  std::uint64_t steward_life = 0;
+  std::uint64_t beat = 0;      ///< Counts writes; with `leader_life` it identifies a write.
+  std::string leader;          ///< Empty once the leader has given the leadership back.
+  endpoint leader_address;
+  std::uint64_t leader_life = 0;
   std::uint64_t next_fence = 1;
   std::vector<claim> claims;  ///< Sorted; they cover every key once.
 
@@ -100,7 +100,7 @@
   bool operator==(const key_load&) const = default;
 };
 
-/// What an owner tells the steward several times a second.
+/// What an owner tells the leader several times a second.
 struct owner_report {
   std::string service;
   holder_id holder;
@@ -111,8 +111,8 @@
   std::uint32_t slots = 1;
   duration service_time{};
   std::uint64_t map_revision = 0;
-  /// The life of a steward whose replies this owner accepts no more; zero: none.
-  std::uint64_t forsaken_life = 0;
+  /// The life of a leader whose replies this owner accepts no more; zero: none.
+  std::uint64_t rejected_life = 0;
   duration right_left{};  ///< Of the right that replies gave.
   std::vector<released_range> released;
   std::vector<key_load> loads;
@@ -120,36 +120,36 @@
   bool operator==(const owner_report&) const = default;
 };
 
-/// The steward's answer.
-struct steward_reply {
+/// The leader's answer.
+struct leader_reply {
   duration right{};  ///< Counted from when the owner sent its report; zero if not renewed.
-  bool is_steward = false;
-  std::uint64_t steward_life = 0;
+  bool is_leader = false;
+  std::uint64_t leader_life = 0;
   std::optional<claim_map> map;  ///< Set if it is newer than the owner's.
   std::vector<released_range> to_release;
 
-  bool operator==(const steward_reply&) const = default;
+  bool operator==(const leader_reply&) const = default;
 };
 
 /// Lengths that the proof of one owner per key rests on; docs/design/platform.md derives them.
 struct claim_timing {
-  duration reply_right = std::chrono::milliseconds{2'000};  ///< Given by a steward's reply.
-  /// Given by a steward's reply to an owner that restarts.
+  duration reply_right = std::chrono::milliseconds{2'000};  ///< Given by a leader's reply.
+  /// Given by a leader's reply to an owner that restarts.
   duration restart_right = std::chrono::milliseconds{5'000};
-  duration lease_right = std::chrono::milliseconds{2'000};     ///< Given by a renewed lease object.
-  duration steward_right = std::chrono::milliseconds{12'000};  ///< Given by a written map.
-  duration hold = std::chrono::milliseconds{2'000};            ///< Of a grant to an upstream.
-  duration hold_renewal = std::chrono::milliseconds{700};  ///< Between grants of the same range.
+  duration lease_right = std::chrono::milliseconds{2'000};    ///< Given by a renewed lease object.
+  duration leader_right = std::chrono::milliseconds{12'000};  ///< Given by a written map.
+  duration hold = std::chrono::milliseconds{2'000};           ///< Of a grant to an upstream.
+  duration hold_renewal = std::chrono::milliseconds{700};     ///< Between grants of the same range.
   duration margin = std::chrono::milliseconds{200};  ///< For delays between deciding and sending.
   double upstream_clock_error = 0.02;                ///< By which an upstream's clock may be slow.
   duration send_limit = std::chrono::milliseconds{100};  ///< Grants not sent by then are dropped.
   std::size_t grants_at_once = 4;
   duration report_interval = std::chrono::milliseconds{300};
-  duration steward_silence = std::chrono::milliseconds{800};  ///< Then leases are renewed too.
-  duration forsake_after = std::chrono::milliseconds{1'300};  ///< Of a silent steward.
+  duration leader_silence = std::chrono::milliseconds{800};  ///< Then leases are renewed too.
+  duration reject_after = std::chrono::milliseconds{1'300};  ///< Of a silent leader.
   duration lease_interval = std::chrono::milliseconds{600};
   duration owner_silence = std::chrono::milliseconds{1'000};    ///< Then an owner is suspected.
-  duration steward_beat = std::chrono::milliseconds{2'500};     ///< Between writes that renew.
+  duration leader_beat = std::chrono::milliseconds{2'500};      ///< Between writes that renew.
   duration call_timeout = std::chrono::milliseconds{1'000};     ///< Of grants and store calls.
   duration release_timeout = std::chrono::milliseconds{2'500};  ///< Work in flight ends first.
   duration pause_limit = std::chrono::milliseconds{700};  ///< A longer gap means we were paused.
@@ -163,8 +163,8 @@
 std::optional<claim_map> map_from_cbor_bytes(std::string_view bytes, failure& reason);
 std::string to_cbor_bytes(const owner_report& report);
 std::optional<owner_report> report_from_cbor_bytes(std::string_view bytes, failure& reason);
-std::string to_cbor_bytes(const steward_reply& reply);
-std::optional<steward_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason);
+std::string to_cbor_bytes(const leader_reply& reply);
+std::optional<leader_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason);
 /// @}
 
 }  // namespace masticshunt::claims
--- a/include/masticshunt/decisions/claims/steward.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -14,7 +14,7 @@
 
 namespace masticshunt::claims {
 
-/// @name Actions of the steward.
+/// @name Actions of the leader.
 /// @{
 
 /// Read the service's map; answer with `map_read`.
@@ -39,12 +39,12 @@
   std::vector<endpoint> owners;
 };
 /// Something an operator may want to know.
-struct steward_note {
+struct leader_note {
   std::string text;
 };
-using steward_action =
-    std::variant<read_map, write_map, read_owner_lease, delete_owner_lease, push_map, steward_note>;
-using steward_actions = std::vector<steward_action>;
+using leader_action =
+    std::variant<read_map, write_map, read_owner_lease, delete_owner_lease, push_map, leader_note>;
+using leader_actions = std::vector<leader_action>;
 /// @}
 
 /// What became of a conditional write or deletion.
@@ -54,22 +54,22 @@
 ///
 /// An owner changes only if it gave the range back itself, if its upstream's life is over, or if
 /// its lease object, unchanged for as long as a renewal gives a right, could be deleted: then no
-/// renewal can have given it a right since. The office itself changes in the same way: a
-/// candidate writes the map over a revision that stood unchanged for `steward_right`. It may write
-/// sooner once most owners have forsaken the steward; owners that have not may still get replies
+/// renewal can have given it a right since. The leadership itself changes in the same way: a
+/// candidate writes the map over a revision that stood unchanged for `leader_right`. It may write
+/// sooner once most owners have rejected the leader; owners that have not may still get replies
 /// from it, and keep their keys until its right is over.
 /// Life cycle: every agent has one for each keyed service; feed `tick` and all answers.
 /// Thread safety: none.
-class steward {
+class leader {
  public:
-  steward(std::string service, std::string agent, endpoint address, std::uint64_t life,
-          claim_timing timing, time_point now);
+  leader(std::string service, std::string agent, endpoint address, std::uint64_t life,
+         claim_timing timing, time_point now);
 
   /// Lets time act.
-  steward_actions tick(time_point now);
+  leader_actions tick(time_point now);
   /// Answers an owner.
-  steward_reply report_received(const owner_report& report, time_point now);
-  /// Sets this agent's place among the candidates for the office; nothing: it is none.
+  leader_reply report_received(const owner_report& report, time_point now);
+  /// Sets this agent's place among the candidates for the leadership; nothing: it is none.
   void set_candidate(std::optional<std::size_t> place) { place_ = place; }
   /// The store answered a read of the map (`answered`), or did not. `map` is empty if none exists.
   void map_read(bool answered, const std::optional<claim_map>& map, time_point now);
@@ -81,12 +81,12 @@
   void owner_lease_deleted(const std::string& agent, write_result result, time_point now);
   /// Takes in a map seen elsewhere.
   void map_seen(const claim_map& map, time_point now);
-  /// Gives the office back: the process is to end.
-  void give_back() { leaving_ = true; }
+  /// Gives the leadership back: the process is to end.
+  void resign() { leaving_ = true; }
 
-  /// Returns true while this agent holds the office.
-  [[nodiscard]] bool in_office(time_point now) const {
-    return holds_ && !leaving_ && now < office_until_;
+  /// Returns true while this agent holds the leadership.
+  [[nodiscard]] bool leads(time_point now) const {
+    return holds_ && !leaving_ && now < leader_until_;
   }
   /// Returns the newest map known to be in the store; its revision is zero if none is known.
   [[nodiscard]] const claim_map& map() const { return map_; }
@@ -95,7 +95,7 @@
   struct owner {
     owner_report report;
     time_point last_report{};
-    time_point forsaken{};     ///< When it last said that it forsakes the present steward.
+    time_point rejected{};     ///< When it last said that it rejects the present leader.
     time_point right_until{};  ///< By the replies it was sent.
     std::uint64_t ended = 0;   ///< Registrations up to this one are over.
     bool suspected = false;
@@ -111,12 +111,12 @@
     time_point since;
   };
 
-  void hold_office(time_point now, steward_actions& out);
-  void seek_office(time_point now, steward_actions& out);
-  [[nodiscard]] bool forsaken_by_most(time_point now) const;
-  void take_office(const claim_map& written, time_point now);
-  void suspect_owners(time_point now, steward_actions& out);
-  void propose(claim_map next, time_point now, steward_actions& out);
+  void lead(time_point now, leader_actions& out);
+  void seek_leadership(time_point now, leader_actions& out);
+  [[nodiscard]] bool rejected_by_most(time_point now) const;
+  void become_leader(const claim_map& written, time_point now);
+  void suspect_owners(time_point now, leader_actions& out);
+  void propose(claim_map next, time_point now, leader_actions& out);
   void adopt(const claim_map& map, time_point now);
   [[nodiscard]] claim_map next_map(time_point now);
   void free_claims(claim_map& next, time_point now) const;
@@ -149,10 +149,10 @@
   bool read_in_flight_ = false;
 
   bool holds_ = false;
-  bool forsaken_ = false;            ///< An owner accepts no replies of this life in office.
-  time_point earlier_office_end_{};  ///< Of the steward before.
-  time_point office_since_{};
-  time_point office_until_{};
+  bool rejected_ = false;            ///< An owner accepts no replies of this life in the lead.
+  time_point earlier_leader_end_{};  ///< Of the leader before.
+  time_point leader_since_{};
+  time_point leader_until_{};
   time_point last_write_{};
   std::optional<claim_map> pending_;
   bool write_in_flight_ = false;
--- a/include/masticshunt/decisions/requests/admission_queue.h
+++ b/include/masticshunt/decisions/requests/admission_queue.h
@@ -100,9 +100,9 @@
   [[nodiscard]] place next(time_point now);
   void observe(time_point now);
   void refuse_hopeless(time_point now, admission_actions& out);
-  void bound_rank(std::uint32_t rank, time_point now, admission_actions& out);
+  void bound_rank(std::uint32_t rank, admission_actions& out);
   void start_free(time_point now, admission_actions& out);
-  void refuse(place one, std::uint64_t& counter, time_point now, admission_actions& out);
+  void refuse(place one, std::uint64_t& counter, admission_actions& out);
 
   admission_settings settings_;
   std::list<waiting_request> waiting_;  ///< In the order of arrival.
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -79,8 +79,8 @@
 
 void claim_holder::map_seen(const claim_map& map, time_point now) {
   if (map.service != service_ || map.revision <= map_.revision) return;
-  if (map.steward_life != map_.steward_life) {
-    forsaken_life_ = 0;
+  if (map.leader_life != map_.leader_life) {
+    rejected_life_ = 0;
     last_reply_ = now;
     report_now_ = true;
   }
@@ -110,10 +110,10 @@
   next_lease_call_ = answer.written ? now + timing_.lease_interval : now;
 }
 
-void claim_holder::steward_answered(const std::optional<steward_reply>& reply, time_point sent,
-                                    time_point now) {
+void claim_holder::leader_answered(const std::optional<leader_reply>& reply, time_point sent,
+                                   time_point now) {
   report_in_flight_ = false;
-  if (!reply || !reply->is_steward || reply->steward_life == forsaken_life_) {
+  if (!reply || !reply->is_leader || reply->leader_life == rejected_life_) {
     next_report_ = now + retry_after_failure;
     return;
   }
@@ -321,25 +321,25 @@
     out.emplace_back(create_lease{});
     return;
   }
-  if (now - last_reply_ < timing_.steward_silence) return;
+  if (now - last_reply_ < timing_.leader_silence) return;
   lease_call_ = true;
   out.emplace_back(renew_lease{lease_revision_});
 }
 
 void claim_holder::report_due(time_point now, holder_actions& out) {
-  if (report_in_flight_ || map_.steward_address.empty()) return;
-  if (registration_ && now - last_reply_ >= timing_.forsake_after && !candidates_.empty() &&
-      forsaken_life_ == 0) {
-    forsaken_life_ = map_.steward_life;
-    notes_.push_back("steward forsaken agent=" + map_.steward);
+  if (report_in_flight_ || map_.leader_address.empty()) return;
+  if (registration_ && now - last_reply_ >= timing_.reject_after && !candidates_.empty() &&
+      rejected_life_ == 0) {
+    rejected_life_ = map_.leader_life;
+    notes_.push_back("leader rejected agent=" + map_.leader);
   }
   if (now < next_report_ && !report_now_) return;
   report_in_flight_ = true;
   report_now_ = false;
   next_report_ = now + timing_.report_interval;
-  endpoint to = map_.steward_address;
-  if (forsaken_life_ != 0) {
-    // The steward is told too: if it lives, it begins a new life in office.
+  endpoint to = map_.leader_address;
+  if (rejected_life_ != 0) {
+    // The leader is told too: if it lives, it begins a new life in the lead.
     const std::size_t place = next_candidate_++ % (candidates_.size() + 1);
     if (place < candidates_.size()) to = candidates_[place];
   }
@@ -368,7 +368,7 @@
                       .slots = slots_,
                       .service_time = service_time_,
                       .map_revision = map_.revision,
-                      .forsaken_life = forsaken_life_,
+                      .rejected_life = rejected_life_,
                       .right_left = std::max(duration{}, right_by_reply_ - now),
                       .loads = loads_};
   for (const piece& each : pieces_)
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -102,9 +102,9 @@
   return {{"service", map.service},
           {"revision", map.revision},
           {"beat", map.beat},
-          {"steward", map.steward},
-          {"steward_address", map.steward_address},
-          {"steward_life", map.steward_life},
+          {"leader", map.leader},
+          {"leader_address", map.leader_address},
+          {"leader_life", map.leader_life},
           {"next_fence", map.next_fence},
           {"holders", std::move(packed_holders)},
           {"claims", std::move(claims)}};
@@ -114,9 +114,9 @@
   map.service = in.at("service").get<std::string>();
   map.revision = in.at("revision").get<std::uint64_t>();
   map.beat = in.at("beat").get<std::uint64_t>();
-  map.steward = in.at("steward").get<std::string>();
-  map.steward_address = in.at("steward_address").get<std::string>();
-  map.steward_life = in.at("steward_life").get<std::uint64_t>();
+  map.leader = in.at("leader").get<std::string>();
+  map.leader_address = in.at("leader_address").get<std::string>();
+  map.leader_life = in.at("leader_life").get<std::uint64_t>();
   map.next_fence = in.at("next_fence").get<std::uint64_t>();
   for (const json& each : in.at("claims"))
     map.claims.push_back(unpack_claim(each, in.at("holders")));
@@ -151,7 +151,7 @@
           {"service_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
           {"map", report.map_revision},
-          {"forsaken", report.forsaken_life},
+          {"rejected", report.rejected_life},
           {"right_left_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.right_left).count()},
           {"released", pack(report.released)},
@@ -168,7 +168,7 @@
   report.slots = in.at("slots").get<std::uint32_t>();
   report.service_time = std::chrono::microseconds{in.at("service_us").get<std::int64_t>()};
   report.map_revision = in.at("map").get<std::uint64_t>();
-  report.forsaken_life = in.at("forsaken").get<std::uint64_t>();
+  report.rejected_life = in.at("rejected").get<std::uint64_t>();
   report.right_left = std::chrono::microseconds{in.at("right_left_us").get<std::int64_t>()};
   report.released = unpack_released(in.at("released"));
   for (const json& each : in.at("loads"))
@@ -176,19 +176,19 @@
   return report;
 }
 
-json pack(const steward_reply& reply) {
+json pack(const leader_reply& reply) {
   json out{{"right_us", std::chrono::duration_cast<std::chrono::microseconds>(reply.right).count()},
-           {"is_steward", reply.is_steward},
-           {"life", reply.steward_life},
+           {"is_leader", reply.is_leader},
+           {"life", reply.leader_life},
            {"to_release", pack(reply.to_release)}};
   if (reply.map) out["map"] = pack(*reply.map);
   return out;
 }
-steward_reply unpack_reply(const json& in) {
-  steward_reply reply;
+leader_reply unpack_reply(const json& in) {
+  leader_reply reply;
   reply.right = std::chrono::microseconds{in.at("right_us").get<std::int64_t>()};
-  reply.is_steward = in.at("is_steward").get<bool>();
-  reply.steward_life = in.at("life").get<std::uint64_t>();
+  reply.is_leader = in.at("is_leader").get<bool>();
+  reply.leader_life = in.at("life").get<std::uint64_t>();
   reply.to_release = unpack_released(in.at("to_release"));
   if (const auto map = in.find("map"); map != in.end()) reply.map = unpack_map(*map);
   return reply;
@@ -233,12 +233,12 @@
   return read<owner_report>(
       "owner report", reason, [&] { return json::from_cbor(bytes); }, unpack_report);
 }
-std::string to_cbor_bytes(const steward_reply& reply) {
+std::string to_cbor_bytes(const leader_reply& reply) {
   return cbor_text(pack(reply));
 }
-std::optional<steward_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason) {
-  return read<steward_reply>(
-      "steward reply", reason, [&] { return json::from_cbor(bytes); }, unpack_reply);
+std::optional<leader_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason) {
+  return read<leader_reply>(
+      "leader reply", reason, [&] { return json::from_cbor(bytes); }, unpack_reply);
 }
 
 }  // namespace masticshunt::claims
--- a/src/decisions/claims/steward.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -1,4 +1,4 @@
-#include "masticshunt/decisions/claims/steward.h"
+#include "masticshunt/decisions/claims/leader.h"
 
 #include <algorithm>
 #include <set>
@@ -11,14 +11,14 @@
 constexpr duration candidate_stagger = std::chrono::milliseconds{400};
 constexpr duration read_interval = std::chrono::milliseconds{2'000};
 constexpr duration retry_interval = std::chrono::milliseconds{250};
-constexpr duration forsaken_fresh = std::chrono::milliseconds{1'200};
-constexpr duration first_office_after = std::chrono::milliseconds{1'500};
+constexpr duration rejected_fresh = std::chrono::milliseconds{1'200};
+constexpr duration first_leader_after = std::chrono::milliseconds{1'500};
 constexpr duration demand_lifetime = std::chrono::seconds{6};
 
 }  // namespace
 
-steward::steward(std::string service, std::string agent, endpoint address, std::uint64_t life,
-                 claim_timing timing, time_point now)
+leader::leader(std::string service, std::string agent, endpoint address, std::uint64_t life,
+               claim_timing timing, time_point now)
     : service_(std::move(service)),
       agent_(std::move(agent)),
       address_(std::move(address)),
@@ -27,8 +27,8 @@
       began_(now),
       last_tick_(now) {}
 
-steward_actions steward::tick(time_point now) {
-  steward_actions out;
+leader_actions leader::tick(time_point now) {
+  leader_actions out;
   if (now - last_tick_ > timing_.pause_limit) {
     // This process stood still: what it did not hear meanwhile proves nothing.
     for (auto& [agent, one] : owners_) {
@@ -38,46 +38,46 @@
     }
   }
   last_tick_ = now;
-  if (holds_ && now >= office_until_) {
+  if (holds_ && now >= leader_until_) {
     holds_ = false;
-    notes_.emplace_back("office lost why=\"the map could not be written in time\"");
+    notes_.emplace_back("leadership lost why=\"the map could not be written in time\"");
   }
   if (in_doubt_ && !read_in_flight_ && !write_in_flight_ && now >= next_read_) {
     read_in_flight_ = true;
     out.emplace_back(read_map{});
   } else if (!in_doubt_ && !write_in_flight_) {
-    holds_ ? hold_office(now, out) : seek_office(now, out);
+    holds_ ? lead(now, out) : seek_leadership(now, out);
   }
   if (holds_) suspect_owners(now, out);
   if (std::exchange(push_, false)) out.emplace_back(push_map{owner_addresses(now)});
-  for (auto& note : std::exchange(notes_, {})) out.emplace_back(steward_note{std::move(note)});
+  for (auto& note : std::exchange(notes_, {})) out.emplace_back(leader_note{std::move(note)});
   return out;
 }
 
-void steward::seek_office(time_point now, steward_actions& out) {
+void leader::seek_leadership(time_point now, leader_actions& out) {
   if (leaving_) return;
-  const bool mine_before = map_.revision > 0 && map_.steward == agent_;
+  const bool mine_before = map_.revision > 0 && map_.leader == agent_;
   if (!place_ && !mine_before) return;
   const duration stagger = candidate_stagger * (mine_before ? 0 : place_.value_or(0));
   const bool none =
-      store_known_ && map_.revision == 0 && now >= began_ + first_office_after + stagger;
-  const bool given_back =
-      map_.revision > 0 && map_.steward.empty() && now >= revision_since_ + stagger;
-  const bool abandoned = map_.revision > 0 &&
-                         now >= revision_since_ + timing_.steward_right + timing_.margin + stagger;
-  const bool forsaken = map_.revision > 0 && forsaken_by_most(now);
-  if (none || given_back || abandoned || mine_before || forsaken) {
+      store_known_ && map_.revision == 0 && now >= began_ + first_leader_after + stagger;
+  const bool resigned =
+      map_.revision > 0 && map_.leader.empty() && now >= revision_since_ + stagger;
+  const bool abandoned =
+      map_.revision > 0 && now >= revision_since_ + timing_.leader_right + timing_.margin + stagger;
+  const bool rejected = map_.revision > 0 && rejected_by_most(now);
+  if (none || resigned || abandoned || mine_before || rejected) {
     const bool known_over = none || abandoned;
-    earlier_office_end_ = known_over ? now
-                                     : std::min(now + timing_.restart_right,
-                                                revision_since_ + timing_.steward_right) +
-                                           timing_.margin;
-    if (forsaken && !given_back && !mine_before)
-      earlier_office_end_ = revision_since_ + timing_.steward_right + timing_.margin;
+    earlier_leader_end_ =
+        known_over ? now
+                   : std::min(now + timing_.restart_right, revision_since_ + timing_.leader_right) +
+                         timing_.margin;
+    if (rejected && !resigned && !mine_before)
+      earlier_leader_end_ = revision_since_ + timing_.leader_right + timing_.margin;
     claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
-    next.steward = agent_;
-    next.steward_address = address_;
-    next.steward_life = life_;
+    next.leader = agent_;
+    next.leader_address = address_;
+    next.leader_life = life_;
     propose(std::move(next), now, out);
     return;
   }
@@ -86,11 +86,11 @@
   out.emplace_back(read_map{});
 }
 
-void steward::hold_office(time_point now, steward_actions& out) {
+void leader::lead(time_point now, leader_actions& out) {
   if (leaving_) {
     claim_map next = map_;
-    next.steward.clear();
-    next.steward_address.clear();
+    next.leader.clear();
+    next.leader_address.clear();
     propose(std::move(next), now, out);
     return;
   }
@@ -98,23 +98,23 @@
   demand_drains(now);
   demand_balance(now);
   claim_map next = next_map(now);
-  if (std::exchange(forsaken_, false)) ++life_;
-  next.steward_life = life_;
-  const bool changed = next.claims != map_.claims || life_ != map_.steward_life;
-  if (!changed && now - last_write_ < timing_.steward_beat) return;
+  if (std::exchange(rejected_, false)) ++life_;
+  next.leader_life = life_;
+  const bool changed = next.claims != map_.claims || life_ != map_.leader_life;
+  if (!changed && now - last_write_ < timing_.leader_beat) return;
   propose(std::move(next), now, out);
 }
 
-void steward::propose(claim_map next, time_point now, steward_actions& out) {
+void leader::propose(claim_map next, time_point now, leader_actions& out) {
   next.beat = map_.beat + 1;
-  next.steward_life = life_;
+  next.leader_life = life_;
   pending_ = std::move(next);
   if (!doubt_since_) doubt_since_ = now;
   write_in_flight_ = true;
   out.emplace_back(write_map{*pending_, map_.revision});
 }
 
-void steward::adopt(const claim_map& map, time_point now) {
+void leader::adopt(const claim_map& map, time_point now) {
   if (map.revision <= map_.revision) return;
   if (map.claims != map_.claims) push_ = holds_;
   map_ = map;
@@ -125,12 +125,12 @@
   });
 }
 
-void steward::map_seen(const claim_map& map, time_point now) {
-  // In office this agent is the only writer; what others hold can't be newer.
+void leader::map_seen(const claim_map& map, time_point now) {
+  // In leadership this agent is the only writer; what others hold can't be newer.
   if (map.service == service_ && !holds_) adopt(map, now);
 }
 
-void steward::map_read(bool answered, const std::optional<claim_map>& map, time_point now) {
+void leader::map_read(bool answered, const std::optional<claim_map>& map, time_point now) {
   read_in_flight_ = false;
   next_read_ = now + (answered && !in_doubt_ ? read_interval : retry_interval);
   if (!answered) return;
@@ -141,7 +141,7 @@
   }
   if (in_doubt_ && pending_) {
     in_doubt_ = false;
-    if (map->steward_life == life_ && map->beat == pending_->beat) {
+    if (map->leader_life == life_ && map->beat == pending_->beat) {
       // One of the writes in doubt took effect, perhaps not the last: what the store shows counts.
       pending_ = *map;
       map_written(write_result::taken, map->revision, *doubt_since_, now);
@@ -149,15 +149,15 @@
     }
     if (map->revision == map_.revision) return;  // Not applied yet; it is decided anew.
   }
-  if (holds_ && map->revision > map_.revision && map->steward_life != life_) {
+  if (holds_ && map->revision > map_.revision && map->leader_life != life_) {
     holds_ = false;
-    notes_.push_back("office lost to=" + map->steward);
+    notes_.push_back("leadership lost to=" + map->leader);
   }
   adopt(*map, now);
 }
 
-void steward::map_written(write_result result, std::uint64_t revision, time_point sent,
-                          time_point now) {
+void leader::map_written(write_result result, std::uint64_t revision, time_point sent,
+                         time_point now) {
   write_in_flight_ = false;
   if (result != write_result::taken) {
     in_doubt_ = true;
@@ -169,15 +169,15 @@
   claim_map written = std::move(*pending_);
   pending_.reset();
   written.revision = revision;
-  const bool was_in_office = holds_;
-  holds_ = !written.steward.empty();
-  office_until_ = sent + timing_.steward_right;
+  const bool was_leads = holds_;
+  holds_ = !written.leader.empty();
+  leader_until_ = sent + timing_.leader_right;
   last_write_ = sent;
   next_write_ = now + std::chrono::milliseconds{100};
   store_known_ = true;
-  if (!was_in_office && holds_) {
-    take_office(written, now);
-    notes_.push_back("office taken revision=" + std::to_string(revision));
+  if (!was_leads && holds_) {
+    become_leader(written, now);
+    notes_.push_back("leadership taken revision=" + std::to_string(revision));
   }
   adopt(written, now);
   std::erase_if(demands_, [this, now](const demand& each) {
@@ -187,14 +187,14 @@
   });
 }
 
-steward_reply steward::report_received(const owner_report& report, time_point now) {
-  steward_reply reply{.is_steward = in_office(now), .steward_life = life_};
+leader_reply leader::report_received(const owner_report& report, time_point now) {
+  leader_reply reply{.is_leader = leads(now), .leader_life = life_};
   if (report.service != service_) return reply;
-  if (!reply.is_steward) {
+  if (!reply.is_leader) {
     owner& candidate_of = owners_[report.holder.agent];
     candidate_of.report = report;
-    if (report.forsaken_life != 0 && report.forsaken_life == map_.steward_life)
-      candidate_of.forsaken = now;
+    if (report.rejected_life != 0 && report.rejected_life == map_.leader_life)
+      candidate_of.rejected = now;
     return reply;
   }
   if (report.map_revision < map_.revision) reply.map = map_;
@@ -207,9 +207,9 @@
   one.suspected = false;
   one.lease_revision.reset();
   const bool alive = registration > one.ended && !one.deleting;
-  if (report.forsaken_life == life_) forsaken_ = true;
+  if (report.rejected_life == life_) rejected_ = true;
   const duration wanted = report.restarting ? timing_.restart_right : timing_.reply_right;
-  if (alive && now + wanted < office_until_) {
+  if (alive && now + wanted < leader_until_) {
     reply.right = wanted;
     one.right_until = std::max(one.right_until, now + wanted);
   }
@@ -219,44 +219,44 @@
   return reply;
 }
 
-bool steward::forsaken_by_most(time_point now) const {
+bool leader::rejected_by_most(time_point now) const {
   std::set<std::string> holders;
   for (const claim& each : map_.claims)
-    if (!each.holder.agent.empty() && each.holder.agent != map_.steward)
+    if (!each.holder.agent.empty() && each.holder.agent != map_.leader)
       holders.insert(each.holder.agent);
   const auto agree = std::ranges::count_if(holders, [&](const std::string& agent) {
     const auto found = owners_.find(agent);
-    return found != owners_.end() && found->second.forsaken > time_point{} &&
-           now - found->second.forsaken < forsaken_fresh &&
-           found->second.report.forsaken_life == map_.steward_life;
+    return found != owners_.end() && found->second.rejected > time_point{} &&
+           now - found->second.rejected < rejected_fresh &&
+           found->second.report.rejected_life == map_.leader_life;
   });
   return agree > 0 && 2 * static_cast<std::size_t>(agree) > holders.size();
 }
 
-void steward::take_office(const claim_map& written, time_point now) {
-  office_since_ = now;
+void leader::become_leader(const claim_map& written, time_point now) {
+  leader_since_ = now;
   demands_.clear();
   const auto before = std::exchange(owners_, {});
   for (const claim& each : written.claims) {
     if (each.holder.agent.empty() || owners_.contains(each.holder.agent)) continue;
     owner& one = owners_[each.holder.agent];
     one.last_report = now;
-    one.right_until = std::max(now, earlier_office_end_);
+    one.right_until = std::max(now, earlier_leader_end_);
     const auto found = before.find(each.holder.agent);
-    if (found == before.end() || found->second.forsaken == time_point{}) continue;
-    // It accepts nothing more of the earlier steward; what it had from it ends by its own word.
-    one.right_until = found->second.forsaken + found->second.report.right_left;
+    if (found == before.end() || found->second.rejected == time_point{}) continue;
+    // It accepts nothing more of the earlier leader; what it had from it ends by its own word.
+    one.right_until = found->second.rejected + found->second.report.right_left;
   }
 }
 
-void steward::suspect_owners(time_point now, steward_actions& out) {
+void leader::suspect_owners(time_point now, leader_actions& out) {
   for (auto& [agent, one] : owners_) {
     const std::string& name = agent;
     const bool named = std::ranges::any_of(map_.claims, [&](const claim& each) {
       return each.holder.agent == name && each.holder.registration > one.ended;
     });
     if (!named || one.lease_call) continue;
-    if (!one.deleting && now - std::max(one.last_report, office_since_) < timing_.owner_silence)
+    if (!one.deleting && now - std::max(one.last_report, leader_since_) < timing_.owner_silence)
       continue;
     if (!std::exchange(one.suspected, true)) notes_.push_back("owner silent agent=" + agent);
     if (!one.lease_revision) {
@@ -273,8 +273,8 @@
   }
 }
 
-void steward::owner_lease_read(const std::string& agent, const lease_answer& answer,
-                               time_point now) {
+void leader::owner_lease_read(const std::string& agent, const lease_answer& answer,
+                              time_point now) {
   owner& one = owners_[agent];
   one.lease_call = false;
   if (!answer.answered) return;
@@ -297,7 +297,7 @@
   one.lease_seen = now;
 }
 
-void steward::owner_lease_deleted(const std::string& agent, write_result result, time_point now) {
+void leader::owner_lease_deleted(const std::string& agent, write_result result, time_point now) {
   owner& one = owners_[agent];
   one.lease_call = false;
   if (result != write_result::taken) {
@@ -317,7 +317,7 @@
   notes_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\"");
 }
 
-std::vector<endpoint> steward::owner_addresses(time_point now) const {
+std::vector<endpoint> leader::owner_addresses(time_point now) const {
   std::vector<endpoint> result;
   for (const auto& [agent, one] : owners_)
     if (now - one.last_report < timing_.owner_silence && !one.report.address.empty())
@@ -325,7 +325,7 @@
   return result;
 }
 
-claim_map steward::next_map(time_point now) {
+claim_map leader::next_map(time_point now) {
   claim_map next = map_;
   free_claims(next, now);
   assign_free(next, now);
@@ -333,7 +333,7 @@
   return next;
 }
 
-void steward::free_claims(claim_map& next, time_point now) const {
+void leader::free_claims(claim_map& next, time_point now) const {
   for (const auto& [agent, one] : owners_) {
     for (const released_range& each : one.report.released) {
       const claim* named = next.find(each.keys.first);
@@ -354,7 +354,7 @@
   static_cast<void>(now);
 }
 
-bool steward::over(const claim& one) const {
+bool leader::over(const claim& one) const {
   const auto found = owners_.find(one.holder.agent);
   if (found == owners_.end()) return false;
   const owner& holder = found->second;
@@ -364,7 +364,7 @@
          report.upstream != one.upstream;
 }
 
-bool steward::eligible(const std::string& agent, time_point now) const {
+bool leader::eligible(const std::string& agent, time_point now) const {
   const auto found = owners_.find(agent);
   if (found == owners_.end()) return false;
   const owner& one = found->second;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <numeric>
 
-#include "masticshunt/decisions/claims/steward.h"
+#include "masticshunt/decisions/claims/leader.h"
 
 namespace masticshunt::claims {
 
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-double steward::load_of(const key_range& keys) const {
+double leader::load_of(const key_range& keys) const {
   double sum = assumed_load * share_of_keys(keys);
   for (const auto& [agent, one] : owners_) {
     for (const key_load& each : one.report.loads) {
@@ -41,8 +41,8 @@
   return sum;
 }
 
-std::map<std::string, double> steward::loads(const std::vector<claim>& claims,
-                                             time_point now) const {
+std::map<std::string, double> leader::loads(const std::vector<claim>& claims,
+                                            time_point now) const {
   std::map<std::string, double> result;
   for (const auto& [agent, one] : owners_)
     if (eligible(agent, now)) result[agent] = 0;
@@ -54,27 +54,27 @@
   return result;
 }
 
-void steward::give(claim& one, const std::string& agent, claim_map& next) const {
+void leader::give(claim& one, const std::string& agent, claim_map& next) const {
   const owner_report& report = owners_.at(agent).report;
   one.holder = report.holder;
   one.upstream = report.upstream;
   one.fence = next.next_fence++;
 }
 
-std::optional<std::string> steward::planned_for(const key_range& keys) const {
+std::optional<std::string> leader::planned_for(const key_range& keys) const {
   const auto found = std::ranges::find_if(
       demands_, [&](const demand& each) { return each.what.keys.contains(keys); });
   if (found == demands_.end() || found->to.empty()) return std::nullopt;
   return found->to;
 }
 
-void steward::assign_free(claim_map& next, time_point now) {
+void leader::assign_free(claim_map& next, time_point now) {
   const auto is_free = [](const claim& each) { return each.holder.agent.empty(); };
   if (std::ranges::none_of(next.claims, is_free)) return;
   auto shares = loads(next.claims, now);
   if (shares.empty()) return;
   const bool first = std::ranges::all_of(next.claims, is_free);
-  if (first && now - office_since_ < settle_time) return;
+  if (first && now - leader_since_ < settle_time) return;
   // A free range that is larger than an even part is cut, so that several owners can share it.
   const double even = 1.0 / static_cast<double>(shares.size());
   for (std::size_t i = 0; i < next.claims.size(); ++i) {
@@ -110,7 +110,7 @@
   }
 }
 
-void steward::merge_neighbours(claim_map& next, time_point now) const {
+void leader::merge_neighbours(claim_map& next, time_point now) const {
   if (next.claims.size() < merge_from) return;
   const auto settled = [&](const claim& each) {
     const auto since = fence_since_.find(each.fence);
@@ -138,7 +138,7 @@
   next.claims = std::move(merged);
 }
 
-void steward::demand_drains(time_point now) {
+void leader::demand_drains(time_point now) {
   const auto shares = loads(map_.claims, now);
   for (const claim& each : map_.claims) {
     const auto found = owners_.find(each.holder.agent);
@@ -153,8 +153,8 @@
   }
 }
 
-void steward::demand_balance(time_point now) {
-  if (now < next_balance_ || now - office_since_ < settle_time) return;
+void leader::demand_balance(time_point now) {
+  if (now < next_balance_ || now - leader_since_ < settle_time) return;
   next_balance_ = now + balance_interval;
   if (!demands_.empty() || map_.claims.size() > claims_max) return;
   auto shares = loads(map_.claims, now);
--- a/src/decisions/requests/admission_queue.cpp
+++ b/src/decisions/requests/admission_queue.cpp
@@ -42,7 +42,7 @@
   waiting_.push_back({request, now});
   start_free(now, out);
   refuse_hopeless(now, out);
-  bound_rank(request.rank, now, out);
+  bound_rank(request.rank, out);
   pressed_ = !waiting_.empty();
 }
 
@@ -77,36 +77,34 @@
   pressed_ = !waiting_.empty();
 }
 
-void admission_queue::refuse(place one, std::uint64_t& counter, time_point now,
-                             admission_actions& out) {
+void admission_queue::refuse(place one, std::uint64_t& counter, admission_actions& out) {
   ++counter;
   const double turns =
       static_cast<double>(waiting_.size()) / static_cast<double>(std::max(1U, settings_.slots));
   out.push_back({admission_action::kind::refuse, one->request.id,
                  std::max(retry_after_min, scaled(usual(one->request), turns))});
   waiting_.erase(one);
-  static_cast<void>(now);
 }
 
 void admission_queue::refuse_hopeless(time_point now, admission_actions& out) {
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     const auto one = it++;
-    if (now + usual(one->request) > one->request.deadline && !running_.empty()) {
-      refuse(one, counts_.refused_deadline, now, out);
-    } else if (now >= one->request.deadline) {
-      refuse(one, counts_.refused_deadline, now, out);
+    const bool too_late = now + usual(one->request) > one->request.deadline;
+    // With nothing running one is tried all the same, so that a wrong estimate is found.
+    if (now >= one->request.deadline || (too_late && !running_.empty())) {
+      refuse(one, counts_.refused_deadline, out);
     } else if (saturated() && !timely(*one, now)) {
-      refuse(one, counts_.refused_late, now, out);
+      refuse(one, counts_.refused_late, out);
     }
   }
 }
 
-void admission_queue::bound_rank(std::uint32_t rank, time_point now, admission_actions& out) {
+void admission_queue::bound_rank(std::uint32_t rank, admission_actions& out) {
   const auto in_rank = [rank](const waiting_request& each) { return each.request.rank == rank; };
   const auto most =
       static_cast<std::ptrdiff_t>(std::max(2.0, settings_.waiting_per_slot * settings_.slots));
   while (std::ranges::count_if(waiting_, in_rank) > most)
-    refuse(std::ranges::find_if(waiting_, in_rank), counts_.refused_full, now, out);
+    refuse(std::ranges::find_if(waiting_, in_rank), counts_.refused_full, out);
 }
 
 bool admission_queue::goes_before(const waiting_request& left, const waiting_request& right,
--- a/src/decisions/requests/repeat_budget.cpp
+++ b/src/decisions/requests/repeat_budget.cpp
@@ -9,10 +9,10 @@
   auto found = services_.find(service);
   if (found == services_.end()) found = services_.emplace(std::string(service), counts{}).first;
   counts& one = found->second;
-  const std::int64_t part = now.time_since_epoch() / (settings_.window / parts);
+  const std::int64_t part = now.time_since_epoch() / (settings_.window / std::int64_t{parts});
   const std::int64_t steps = std::min<std::int64_t>(part - one.newest, parts);
   for (std::int64_t step = 1; step <= steps; ++step) {
-    const auto place = static_cast<std::size_t>((part - steps + step) % parts);
+    const auto place = static_cast<std::size_t>((part - steps + step) % std::int64_t{parts});
     one.requests[place] = 0;
     one.repeats[place] = 0;
   }
@@ -22,12 +22,12 @@
 
 void repeat_budget::requested(std::string_view service, time_point now) {
   counts& one = advanced(service, now);
-  ++one.requests[static_cast<std::size_t>(one.newest % parts)];
+  ++one.requests[static_cast<std::size_t>(one.newest % std::int64_t{parts})];
 }
 
 void repeat_budget::charge(std::string_view service, double share, time_point now) {
   counts& one = advanced(service, now);
-  one.repeats[static_cast<std::size_t>(one.newest % parts)] += share;
+  one.repeats[static_cast<std::size_t>(one.newest % std::int64_t{parts})] += share;
 }
 
 double repeat_budget::left(std::string_view service, std::size_t agents, time_point now) {
@@ -42,7 +42,7 @@
 bool repeat_budget::take(std::string_view service, std::size_t agents, time_point now) {
   if (left(service, agents, now) < 1) return false;
   counts& one = advanced(service, now);
-  ++one.repeats[static_cast<std::size_t>(one.newest % parts)];
+  ++one.repeats[static_cast<std::size_t>(one.newest % std::int64_t{parts})];
   return true;
 }
 
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -77,6 +77,7 @@
 
 std::vector<const registration*> upstream_directory::all() const {
   std::vector<const registration*> result;
+  result.reserve(members_.size());
   for (const auto& [name, one] : members_) result.push_back(&one.entry);
   return result;
 }
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -100,7 +100,7 @@
   state_watch_ = std::make_unique<store_watch>(
       store_, std::string(platform::kind_desired_state), duration{},
       store_watch::handlers{.listed =
-                                [this](std::vector<platform::stored_object> objects) {
+                                [this](const std::vector<platform::stored_object>& objects) {
                                   for (const auto& each : objects)
                                     if (each.name == platform::desired_state_name)
                                       put_state(each.spec, "store");
@@ -115,7 +115,7 @@
       store_, std::string(platform::kind_registrations), registration_batching,
       store_watch::handlers{
           .listed =
-              [this](std::vector<platform::stored_object> objects) {
+              [this](const std::vector<platform::stored_object>& objects) {
                 std::vector<routing::registration> entries;
                 for (const auto& each : objects) {
                   failure reason;
@@ -310,7 +310,7 @@
       {"upstreams", upstreams},
       {"claims", maps},
       {"gate", {{"running", load.running}, {"waiting", load.waiting}, {"slots", load.slots}}},
-      {"steward", claims_.in_office(now)},
+      {"leader", claims_.leads(now)},
       {"store_reached", store_.reached()}}
       .dump(2);
 }
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -27,7 +27,7 @@
 /// One agent: one thread, one event loop.
 ///
 /// Life cycle: construct, `start`, run the context until it ends by itself: after a stop signal
-/// the agent gives its offices back, takes no new work, finishes what is in flight and leaves.
+/// the agent gives its leadership back, takes no new work, finishes what is in flight and leaves.
 class agent_process {
  public:
   agent_process(boost::asio::io_context& context, fleet_settings settings, std::string path);
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -71,7 +71,7 @@
 std::string_view word(const std::string& text) {
   return text.empty() ? absent : std::string_view(text);
 }
-std::string from_word(std::string text) {
+std::string from_word(const std::string& text) {
   return text == absent ? std::string{} : text;
 }
 
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -35,10 +35,10 @@
 
 }  // namespace
 
-claims_driver::claims_driver(asio::any_io_executor executor, const fleet_settings& settings,
+claims_driver::claims_driver(const asio::any_io_executor& executor, const fleet_settings& settings,
                              knowledge& known, store_client& store, gate_service& gate,
                              connection_pool& peers, support::event_log& log, std::uint64_t life)
-    : executor_(std::move(executor)),
+    : executor_(executor),
       settings_(settings),
       known_(known),
       store_(store),
@@ -66,8 +66,8 @@
     for (const auto& action : holder_->tick(now)) carry_out(action);
   }
   bool seeks = false;
-  for (const auto& [service, one] : stewards_) {
-    const bool held_before = one->map().steward == settings_.name;
+  for (const auto& [service, one] : leaders_) {
+    const bool held_before = one->map().leader == settings_.name;
     if (!candidate_[service] && !held_before) continue;
     seeks = true;
     for (const auto& action : one->tick(now)) carry_out(service, action);
@@ -78,10 +78,10 @@
 void claims_driver::fleet_changed(time_point now) {
   for (const auto& [name, service] : known_.routes().state().services) {
     if (!service.keyed) continue;
-    auto& one = stewards_[name];
+    auto& one = leaders_[name];
     if (!one) {
-      one = std::make_unique<claims::steward>(name, settings_.name, settings_.peer_address(), life_,
-                                              timing_, now);
+      one = std::make_unique<claims::leader>(name, settings_.name, settings_.peer_address(), life_,
+                                             timing_, now);
       if (const auto* map = known_.find_map(name)) one->map_seen(*map, now);
     }
     // Agents without keys of the service come first: their loss costs no key its owner.
@@ -98,7 +98,7 @@
     if (holder_ && holder_service_ == name) {
       std::vector<endpoint> candidates;
       for (std::size_t i = 0; i < std::min(order.size(), candidates_max); ++i)
-        if (order[i].second != one->map().steward)
+        if (order[i].second != one->map().leader)
           candidates.push_back(known_.directory.find(order[i].second)->address);
       holder_->set_candidates(std::move(candidates));
     }
@@ -124,14 +124,14 @@
 void claims_driver::map_seen(const claims::claim_map& map, time_point now) {
   known_.put_map(map);
   if (holder_) holder_->map_seen(map, now);
-  if (const auto found = stewards_.find(map.service); found != stewards_.end())
+  if (const auto found = leaders_.find(map.service); found != leaders_.end())
     found->second->map_seen(map, now);
 }
 
-claims::steward_reply claims_driver::report_received(const claims::owner_report& report,
-                                                     time_point now) {
-  const auto found = stewards_.find(report.service);
-  if (found == stewards_.end()) return {};
+claims::leader_reply claims_driver::report_received(const claims::owner_report& report,
+                                                    time_point now) {
+  const auto found = leaders_.find(report.service);
+  if (found == leaders_.end()) return {};
   auto reply = found->second->report_received(report, now);
   if (!report.released.empty())
     for (const auto& action : found->second->tick(now)) carry_out(report.service, action);
@@ -140,12 +140,12 @@
 
 void claims_driver::leave() {
   if (holder_) holder_->restart(boot_now());
-  for (const auto& [service, one] : stewards_) one->give_back();
+  for (const auto& [service, one] : leaders_) one->resign();
 }
 
-bool claims_driver::in_office(time_point now) const {
-  return std::ranges::any_of(stewards_,
-                             [now](const auto& entry) { return entry.second->in_office(now); });
+bool claims_driver::leads(time_point now) const {
+  return std::ranges::any_of(leaders_,
+                             [now](const auto& entry) { return entry.second->leads(now); });
 }
 
 void claims_driver::carry_out(const claims::holder_action& action) {
@@ -178,22 +178,22 @@
   }
 }
 
-void claims_driver::carry_out(const std::string& service, const claims::steward_action& action) {
+void claims_driver::carry_out(const std::string& service, const claims::leader_action& action) {
   const auto start = [this](asio::awaitable<void> work) {
     asio::co_spawn(executor_, std::move(work), asio::detached);
   };
   if (std::holds_alternative<claims::read_map>(action)) {
-    start(read_steward_map(service));
+    start(read_leader_map(service));
   } else if (const auto* write = std::get_if<claims::write_map>(&action)) {
-    start(write_steward_map(service, *write));
+    start(write_leader_map(service, *write));
   } else if (const auto* read = std::get_if<claims::read_owner_lease>(&action)) {
     start(read_owner_lease(service, read->agent));
   } else if (const auto* remove = std::get_if<claims::delete_owner_lease>(&action)) {
     start(delete_owner_lease(service, *remove));
   } else if (const auto* pushed = std::get_if<claims::push_map>(&action)) {
     start(push(service, pushed->owners));
-  } else if (const auto* text = std::get_if<claims::steward_note>(&action)) {
-    note("steward service=" + service + " " + text->text);
+  } else if (const auto* text = std::get_if<claims::leader_note>(&action)) {
+    note("leader service=" + service + " " + text->text);
   }
 }
 
@@ -235,11 +235,11 @@
 
 asio::awaitable<void> claims_driver::report(claims::send_report what) {
   const auto sent = boot_now();
-  std::optional<claims::steward_reply> reply;
-  if (what.steward == settings_.peer_address()) {
+  std::optional<claims::leader_reply> reply;
+  if (what.leader == settings_.peer_address()) {
     reply = report_received(what.report, sent);
   } else {
-    auto end = co_await call_peer(what.steward, "POST", std::string(report_path),
+    auto end = co_await call_peer(what.leader, "POST", std::string(report_path),
                                   claims::to_cbor_bytes(what.report), peer_timeout);
     failure reason;
     if (end.result == exchange_result::answered && end.status == status_ok && end.body->whole())
@@ -248,8 +248,8 @@
   if (!holder_) co_return;
   if (reply && reply->map) known_.put_map(*reply->map);
   const auto now = boot_now();
-  holder_->steward_answered(reply, sent, now);
-  if (!reply || !reply->is_steward) refresh_map(holder_service_);
+  holder_->leader_answered(reply, sent, now);
+  if (!reply || !reply->is_leader) refresh_map(holder_service_);
   tick(now);
 }
 
@@ -299,11 +299,11 @@
   tick(boot_now());
 }
 
-asio::awaitable<void> claims_driver::read_steward_map(std::string service) {
+asio::awaitable<void> claims_driver::read_leader_map(std::string service) {
   const auto answer = co_await store_.call(platform::read_object(platform::kind_claims, service),
                                            timing_.call_timeout);
   const auto now = boot_now();
-  auto& one = *stewards_.at(service);
+  auto& one = *leaders_.at(service);
   if (answer.verdict == store_verdict::missing) {
     one.map_read(true, std::nullopt, now);
   } else {
@@ -322,8 +322,7 @@
   tick(now);
 }
 
-asio::awaitable<void> claims_driver::write_steward_map(std::string service,
-                                                       claims::write_map what) {
+asio::awaitable<void> claims_driver::write_leader_map(std::string service, claims::write_map what) {
   const auto sent = boot_now();
   const auto text = claims::to_json_text(what.map);
   const auto call =
@@ -342,7 +341,7 @@
     }
   }
   const auto now = boot_now();
-  auto& one = *stewards_.at(service);
+  auto& one = *leaders_.at(service);
   one.map_written(result, revision, sent, now);
   if (result == claims::write_result::taken) {
     known_.put_map(one.map());
@@ -362,7 +361,7 @@
       seen = {.answered = true, .registration = object->created, .revision = object->revision};
     }
   }
-  stewards_.at(service)->owner_lease_read(agent, seen, boot_now());
+  leaders_.at(service)->owner_lease_read(agent, seen, boot_now());
 }
 
 asio::awaitable<void> claims_driver::delete_owner_lease(std::string service,
@@ -373,12 +372,12 @@
   auto result = write_result_of(answer);
   // A refused call has done nothing, but is no conflict either: it is to be tried again.
   if (answer.verdict == store_verdict::refused) result = claims::write_result::no_answer;
-  stewards_.at(service)->owner_lease_deleted(what.agent, result, boot_now());
+  leaders_.at(service)->owner_lease_deleted(what.agent, result, boot_now());
   tick(boot_now());
 }
 
 asio::awaitable<void> claims_driver::push(std::string service, std::vector<endpoint> owners) {
-  const auto bytes = claims::to_cbor_bytes(stewards_.at(service)->map());
+  const auto bytes = claims::to_cbor_bytes(leaders_.at(service)->map());
   for (const auto& each : owners) {
     if (each == settings_.peer_address()) continue;
     asio::co_spawn(
@@ -402,10 +401,10 @@
 asio::awaitable<void> claims_driver::refresh(std::string service) {
   failure reason;
   const auto* known = known_.find_map(service);
-  if (known != nullptr && !known->steward_address.empty() &&
-      known->steward_address != settings_.peer_address()) {
-    auto end = co_await call_peer(known->steward_address, "GET", std::string(map_path) + service,
-                                  {}, peer_timeout);
+  if (known != nullptr && !known->leader_address.empty() &&
+      known->leader_address != settings_.peer_address()) {
+    auto end = co_await call_peer(known->leader_address, "GET", std::string(map_path) + service, {},
+                                  peer_timeout);
     if (end.result == exchange_result::answered && end.status == status_ok && end.body->whole()) {
       if (const auto map = claims::map_from_cbor_bytes(end.body->held(), reason)) {
         map_seen(*map, boot_now());
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -1,5 +1,5 @@
 /// @file
-/// Carries out what the claim holder and the stewards decide.
+/// Carries out what the claim holder and the leaders decide.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -12,12 +12,12 @@
 #include "fleet/internal/knowledge.h"
 #include "fleet/internal/store_client.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
-#include "masticshunt/decisions/claims/steward.h"
+#include "masticshunt/decisions/claims/leader.h"
 #include "masticshunt/fleet/settings.h"
 
 namespace masticshunt::fleet {
 
-/// Runs the owner's side of claims for the upstream beside this agent, and a steward for each
+/// Runs the owner's side of claims for the upstream beside this agent, and a leader for each
 /// service that is divided by key.
 ///
 /// Life cycle: call `tick` about every `tick_interval`, and whenever something it waits for has
@@ -26,7 +26,7 @@
  public:
   static constexpr duration tick_interval = std::chrono::milliseconds{50};
 
-  claims_driver(boost::asio::any_io_executor executor, const fleet_settings& settings,
+  claims_driver(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
                 knowledge& known, store_client& store, gate_service& gate, connection_pool& peers,
                 support::event_log& log, std::uint64_t life);
 
@@ -40,26 +40,26 @@
   /// A map arrived from the store or from a peer.
   void map_seen(const claims::claim_map& map, time_point now);
   /// An owner's report arrived. Returns the answer for it.
-  claims::steward_reply report_received(const claims::owner_report& report, time_point now);
-  /// Looks for a newer map of `service`, at its steward or in the store.
+  claims::leader_reply report_received(const claims::owner_report& report, time_point now);
+  /// Looks for a newer map of `service`, at its leader or in the store.
   void refresh_map(const std::string& service);
-  /// This process is to end: gives the stewards' offices back and has keys held until the next
+  /// This process is to end: gives the leaders' leadership back and has keys held until the next
   /// process on this VM is there.
   void leave();
-  /// Returns true while this agent is a steward.
-  [[nodiscard]] bool in_office(time_point now) const;
+  /// Returns true while this agent is a leader.
+  [[nodiscard]] bool leads(time_point now) const;
   [[nodiscard]] const claims::claim_holder* holder() const { return holder_.get(); }
 
  private:
   void carry_out(const claims::holder_action& action);
-  void carry_out(const std::string& service, const claims::steward_action& action);
+  void carry_out(const std::string& service, const claims::leader_action& action);
 
   boost::asio::awaitable<void> call_lease(platform::call what, bool writes);
   boost::asio::awaitable<void> report(claims::send_report what);
   boost::asio::awaitable<void> grant(claims::grant_keys what);
   boost::asio::awaitable<void> release(claims::release_keys what);
-  boost::asio::awaitable<void> read_steward_map(std::string service);
-  boost::asio::awaitable<void> write_steward_map(std::string service, claims::write_map what);
+  boost::asio::awaitable<void> read_leader_map(std::string service);
+  boost::asio::awaitable<void> write_leader_map(std::string service, claims::write_map what);
   boost::asio::awaitable<void> read_owner_lease(std::string service, std::string agent);
   boost::asio::awaitable<void> delete_owner_lease(std::string service,
                                                   claims::delete_owner_lease what);
@@ -82,7 +82,7 @@
   claims::claim_timing timing_;
   std::unique_ptr<claims::claim_holder> holder_;
   std::string holder_service_;
-  std::map<std::string, std::unique_ptr<claims::steward>> stewards_;
+  std::map<std::string, std::unique_ptr<claims::leader>> leaders_;
   std::map<std::string, bool> candidate_;
   std::map<std::string, time_point> refresh_after_;
   time_point next_loads_{};
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -64,10 +64,10 @@
   std::optional<attempt_outcome> fallback;  ///< The upstream's failure, kept while trying again.
 };
 
-entry::entry(asio::any_io_executor executor, const fleet_settings& settings, knowledge& known,
-             gate_service& gate, peer_side& peers, claims_driver& claims, support::event_log& log,
-             support::metrics_registry& metrics)
-    : executor_(std::move(executor)),
+entry::entry(const asio::any_io_executor& executor, const fleet_settings& settings,
+             knowledge& known, gate_service& gate, peer_side& peers, claims_driver& claims,
+             support::event_log& log, support::metrics_registry& metrics)
+    : executor_(executor),
       settings_(settings),
       known_(known),
       gate_(gate),
@@ -164,10 +164,11 @@
         answer(now, std::move(outcome));
         co_return;
       case next_step::again:
-        if (outcome.result == attempt_result::answered) now.fallback = std::move(outcome);
-        if (now.keyed && outcome.result != attempt_result::answered &&
-            outcome.why != refusal::not_owner && !co_await await_owner(now))
+        if (outcome.result == attempt_result::answered) {
+          now.fallback = std::move(outcome);
+        } else if (now.keyed && outcome.why != refusal::not_owner && !co_await await_owner(now)) {
           break;
+        }
         continue;
       case next_step::refuse:
       case next_step::fail:
--- a/src/fleet/internal/entry.h
+++ b/src/fleet/internal/entry.h
@@ -28,9 +28,9 @@
 /// Thread safety: none.
 class entry {
  public:
-  entry(boost::asio::any_io_executor executor, const fleet_settings& settings, knowledge& known,
-        gate_service& gate, peer_side& peers, claims_driver& claims, support::event_log& log,
-        support::metrics_registry& metrics);
+  entry(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
+        knowledge& known, gate_service& gate, peer_side& peers, claims_driver& claims,
+        support::event_log& log, support::metrics_registry& metrics);
 
   /// Answers a caller's request.
   void handle(std::shared_ptr<server_request> request);
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-gate_service::gate_service(asio::any_io_executor executor, gate_settings settings)
+gate_service::gate_service(const asio::any_io_executor& executor, gate_settings settings)
     : executor_(executor),
       settings_(std::move(settings)),
       pool_(executor, {.idle_limit = idle_limit_unstated}),
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -40,7 +40,7 @@
 /// Life cycle: one for the process. Thread safety: none.
 class gate_service {
  public:
-  gate_service(boost::asio::any_io_executor executor, gate_settings settings);
+  gate_service(const boost::asio::any_io_executor& executor, gate_settings settings);
 
   /// Has `what` run by the upstream, or refuses it.
   boost::asio::awaitable<attempt_outcome> serve(std::shared_ptr<attempt> what);
@@ -80,7 +80,7 @@
 
  private:
   struct waiter {
-    explicit waiter(boost::asio::any_io_executor executor) : changed(std::move(executor)) {}
+    explicit waiter(const boost::asio::any_io_executor& executor) : changed(executor) {}
     boost::asio::steady_timer changed;
     bool started = false;
     std::optional<duration> refused;  ///< When to come back.
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -109,7 +109,8 @@
     if (chunked && !bytes.empty()) {
       char size[24]{};
       std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-      bytes = size + bytes + "\r\n";
+      bytes.insert(0, size);
+      bytes.append("\r\n");
     }
     const bool last = body->complete();
     if (last && chunked) bytes += "0\r\n\r\n";
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -22,7 +22,7 @@
 
 /// A connection to another process.
 struct client_connection {
-  explicit client_connection(boost::asio::any_io_executor executor) : socket(std::move(executor)) {}
+  explicit client_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
@@ -46,8 +46,8 @@
 /// Thread safety: none.
 class connection_pool {
  public:
-  connection_pool(boost::asio::any_io_executor executor, pool_limits limits)
-      : executor_(std::move(executor)), limits_(limits) {}
+  connection_pool(const boost::asio::any_io_executor& executor, pool_limits limits)
+      : executor_(executor), limits_(limits) {}
 
   /// Returns an idle connection that is still sound, or a new one; null if none can be had before
   /// `deadline`.
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -379,8 +379,8 @@
   time_point quiet_since_;
 };
 
-http_server::http_server(asio::any_io_executor executor, request_handler handler)
-    : executor_(std::move(executor)), handler_(std::move(handler)), acceptor_(executor_) {}
+http_server::http_server(const asio::any_io_executor& executor, request_handler handler)
+    : executor_(executor), handler_(std::move(handler)), acceptor_(executor_) {}
 
 http_server::~http_server() {
   for (const auto& each : std::exchange(sessions_, {})) each->orphan();
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -84,7 +84,7 @@
 /// Thread safety: none.
 class http_server {
  public:
-  http_server(boost::asio::any_io_executor executor, request_handler handler);
+  http_server(const boost::asio::any_io_executor& executor, request_handler handler);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -29,10 +29,10 @@
 
 }  // namespace
 
-peer_side::peer_side(asio::any_io_executor executor, const fleet_settings& settings,
+peer_side::peer_side(const asio::any_io_executor& executor, const fleet_settings& settings,
                      knowledge& known, gate_service& gate, claims_driver& claims,
                      connection_pool& peers, support::event_log& log)
-    : executor_(std::move(executor)),
+    : executor_(executor),
       settings_(settings),
       known_(known),
       gate_(gate),
--- a/src/fleet/internal/peer_side.h
+++ b/src/fleet/internal/peer_side.h
@@ -22,8 +22,8 @@
 /// Thread safety: none.
 class peer_side {
  public:
-  peer_side(boost::asio::any_io_executor executor, const fleet_settings& settings, knowledge& known,
-            gate_service& gate, claims_driver& claims, connection_pool& peers,
+  peer_side(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
+            knowledge& known, gate_service& gate, claims_driver& claims, connection_pool& peers,
             support::event_log& log);
 
   /// Answers a request of a peer.
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -20,9 +20,9 @@
 
 }  // namespace
 
-store_client::store_client(asio::any_io_executor executor, endpoint address,
+store_client::store_client(const asio::any_io_executor& executor, endpoint address,
                            support::event_log& log)
-    : pool_(std::move(executor), {.connect_timeout = std::chrono::milliseconds{600}}),
+    : pool_(executor, {.connect_timeout = std::chrono::milliseconds{600}}),
       address_(std::move(address)),
       log_(log) {}
 
@@ -115,7 +115,7 @@
         continue;
       }
       revision = all->revision;
-      on_.listed(std::move(all->objects));
+      on_.listed(all->objects);
     }
     const auto answer = co_await store_.call(
         platform::watch_objects(
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -36,7 +36,8 @@
 /// Thread safety: none.
 class store_client {
  public:
-  store_client(boost::asio::any_io_executor executor, endpoint address, support::event_log& log);
+  store_client(const boost::asio::any_io_executor& executor, endpoint address,
+               support::event_log& log);
 
   /// Carries out one call. It is not tried again.
   boost::asio::awaitable<store_answer> call(platform::call what, duration timeout);
@@ -67,7 +68,7 @@
 class store_watch {
  public:
   struct handlers {
-    std::function<void(std::vector<platform::stored_object>)> listed;
+    std::function<void(const std::vector<platform::stored_object>&)> listed;
     std::function<void(const platform::stored_change&)> changed;
   };
   store_watch(store_client& store, std::string kind, duration batching, handlers on);
--- a/src/fleet/internal/upstream_side.cpp
+++ b/src/fleet/internal/upstream_side.cpp
@@ -31,10 +31,10 @@
 
 }  // namespace
 
-upstream_side::upstream_side(asio::any_io_executor executor, const fleet_settings& settings,
+upstream_side::upstream_side(const asio::any_io_executor& executor, const fleet_settings& settings,
                              knowledge& known, store_client& store, gate_service& gate,
                              support::event_log& log)
-    : executor_(std::move(executor)),
+    : executor_(executor),
       settings_(settings),
       known_(known),
       store_(store),
--- a/src/fleet/internal/upstream_side.h
+++ b/src/fleet/internal/upstream_side.h
@@ -25,7 +25,7 @@
 /// Thread safety: none.
 class upstream_side {
  public:
-  upstream_side(boost::asio::any_io_executor executor, const fleet_settings& settings,
+  upstream_side(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
                 knowledge& known, store_client& store, gate_service& gate, support::event_log& log);
 
   /// Answers a request of the upstream.
