--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -113,7 +113,8 @@
   }
   if (candidates.empty()) return std::nullopt;
   std::ranges::sort(candidates, {}, &std::pair<double, const member*>::first);
-  const double bound = candidates.front().first * (1 + tie_share);
+  const member& cheapest = *candidates.front().second;
+  const double bound = candidates.front().first + tie_share * cost(cheapest, now);
   const auto near = static_cast<std::size_t>(
       std::ranges::count_if(candidates, [&](const auto& each) { return each.first <= bound; }));
   return candidates[static_cast<std::size_t>(draw * static_cast<double>(near))].second->entry.agent;
@@ -145,6 +146,8 @@
     one->load = *load;
     one->stated_at = now;
     one->sent_since_statement = 0;
+  } else if (one->sent_since_statement > 0) {
+    --one->sent_since_statement;
   }
   const bool bad = mark == attempt_mark::failed || mark == attempt_mark::unreachable;
   const double sample = bad ? 1.0 : mark == attempt_mark::refused ? one->failure_share : 0.0;
--- /dev/null
+++ b/tests/decisions/claims/leader_test.cpp
@@ -0,0 +1,327 @@
+#include "masticshunt/decisions/claims/leader.h"
+
+#include <algorithm>
+
+#include "expect.h"
+
+using namespace masticshunt;
+using namespace masticshunt::claims;
+using namespace masticshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A leader with a store that keeps one map, and owners that report when told to.
+struct leader_fixture {
+  claim_timing timing;
+  time_point now{seconds{100}};
+  leader subject{"ledger", "vm-9", "10.0.0.9:7600", 500, timing, now};
+  claim_map stored;
+  std::uint64_t revision = 10;
+  std::vector<read_owner_lease> lease_reads;
+  std::vector<delete_owner_lease> lease_deletions;
+  bool loses_answers = false;
+
+  leader_fixture() { subject.set_candidate(0); }
+
+  void run(duration span, duration step = milliseconds{50}) {
+    for (const auto end = now + span; now < end; now += step) tick();
+  }
+  void tick() {
+    for (const auto& each : subject.tick(now)) {
+      if (std::holds_alternative<read_map>(each)) {
+        subject.map_read(true, stored.revision == 0 ? std::nullopt : std::optional(stored), now);
+      } else if (const auto* write = std::get_if<write_map>(&each)) {
+        const bool holds = write->expected_revision == stored.revision;
+        if (holds) {
+          stored = write->map;
+          stored.revision = ++revision;
+        }
+        subject.map_written(loses_answers ? write_result::no_answer
+                            : holds       ? write_result::taken
+                                          : write_result::conflict,
+                            revision, now, now);
+      } else if (const auto* read = std::get_if<read_owner_lease>(&each)) {
+        lease_reads.push_back(*read);
+      } else if (const auto* remove = std::get_if<delete_owner_lease>(&each)) {
+        lease_deletions.push_back(*remove);
+      }
+    }
+  }
+  owner_report report(const std::string& agent, std::uint64_t registration = 1) const {
+    return {.service = "ledger",
+            .holder = {agent, registration},
+            .address = "10.0.0.1:7600",
+            .upstream = {"i-" + agent, 1'000},
+            .accepting = true,
+            .slots = 12,
+            .service_time = milliseconds{100},
+            .map_revision = stored.revision};
+  }
+  /// Runs for `span` with `agents` reporting.
+  void run_with(const std::vector<std::string>& agents, duration span) {
+    for (const auto end = now + span; now < end; now += milliseconds{100}) {
+      for (const auto& each : agents) subject.report_received(report(each), now);
+      tick();
+    }
+  }
+  bool all_owned() const {
+    return std::ranges::none_of(stored.claims,
+                                [](const claim& each) { return each.holder.agent.empty(); });
+  }
+  bool owns_any(const std::string& agent) const {
+    return std::ranges::any_of(stored.claims,
+                               [&](const claim& each) { return each.holder.agent == agent; });
+  }
+  std::uint64_t highest_fence() const {
+    return std::ranges::max_element(stored.claims, {}, &claim::fence)->fence;
+  }
+};
+
+}  // namespace
+
+Test(leader, the_first_candidate_creates_the_map) {
+  leader_fixture it;
+  it.run(seconds{3});
+  expect_true(it.subject.leads(it.now));
+  expect_equal(it.stored.leader, "vm-9");
+}
+
+Test(leader, no_candidate_never_leads) {
+  leader_fixture it;
+  it.subject.set_candidate(std::nullopt);
+  it.run(seconds{20});
+  expect_equal(it.stored.revision, 0U);
+}
+
+Test(leader, shares_the_keys_among_all_owners_that_report) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2", "vm-3"}, seconds{6});
+  expect_true(it.all_owned());
+  expect_true(it.stored.covers_all());
+  for (const auto* agent : {"vm-1", "vm-2", "vm-3"}) expect_true(it.owns_any(agent), agent);
+}
+
+Test(leader, a_reporting_owner_gets_a_right_and_one_of_an_ended_registration_does_not) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  expect_true(it.subject.report_received(it.report("vm-1", 2), it.now).right > duration{});
+  expect_true(it.subject.report_received(it.report("vm-1", 1), it.now).right == duration{});
+}
+
+Test(leader, a_silent_owner_is_replaced_only_after_its_lease_object_was_deleted) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  it.run_with({"vm-2"}, it.timing.owner_silence + milliseconds{300});
+  expect_equal(it.lease_reads.size(), 1U);
+  it.subject.owner_lease_read("vm-1", {.answered = true, .registration = 1, .revision = 77},
+                              it.now);
+  it.run_with({"vm-2"}, it.timing.lease_right - milliseconds{200});
+  expect_true(it.lease_deletions.empty());
+  expect_true(it.owns_any("vm-1"));
+  it.run_with({"vm-2"}, seconds{1});
+  expect_equal(it.lease_deletions.size(), 1U);
+  expect_equal(it.lease_deletions[0].revision, 77U);
+  expect_true(it.owns_any("vm-1"));
+  it.subject.owner_lease_deleted("vm-1", write_result::taken, it.now);
+  it.run_with({"vm-2"}, seconds{1});
+  expect_false(it.owns_any("vm-1"));
+  expect_true(it.all_owned());
+}
+
+Test(leader, an_owner_that_renewed_its_lease_keeps_its_keys) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  it.run_with({"vm-2"}, it.timing.owner_silence + milliseconds{300});
+  it.subject.owner_lease_read("vm-1", {.answered = true, .registration = 1, .revision = 77},
+                              it.now);
+  it.run_with({"vm-2"}, it.timing.lease_right + seconds{1});
+  it.subject.owner_lease_deleted("vm-1", write_result::conflict, it.now);
+  it.run_with({"vm-2"}, seconds{1});
+  expect_true(it.owns_any("vm-1"));
+}
+
+Test(leader, gives_no_right_while_a_deletion_may_still_take_effect) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  it.run_with({"vm-2"}, it.timing.owner_silence + milliseconds{300});
+  it.subject.owner_lease_read("vm-1", {.answered = true, .registration = 1, .revision = 77},
+                              it.now);
+  it.run_with({"vm-2"}, it.timing.lease_right + seconds{1});
+  it.subject.owner_lease_deleted("vm-1", write_result::no_answer, it.now);
+  expect_true(it.subject.report_received(it.report("vm-1"), it.now).right == duration{});
+}
+
+Test(leader, a_released_range_moves_with_a_higher_fence_and_the_hand_over) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  const auto owned = *std::ranges::find_if(
+      it.stored.claims, [](const claim& each) { return each.holder.agent == "vm-1"; });
+  const auto fence_before = it.highest_fence();
+  auto report = it.report("vm-1");
+  report.accepting = false;
+  report.released = {{owned.keys, owned.fence, "warm"}};
+  it.subject.report_received(report, it.now);
+  it.subject.report_received(it.report("vm-2"), it.now);
+  it.run(milliseconds{200});
+  const auto* moved = it.stored.find(owned.keys.first);
+  expect_equal(moved->holder.agent, "vm-2");
+  expect_equal(moved->handover, "warm");
+  expect_true(moved->fence > fence_before);
+}
+
+Test(leader, another_life_of_an_upstream_gets_its_keys_with_a_higher_fence) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  const auto fence_before = it.highest_fence();
+  auto report = it.report("vm-1");
+  report.upstream.born_ms = 2'000;
+  it.subject.report_received(report, it.now);
+  it.run(milliseconds{300});
+  expect_equal(it.stored.claims[0].upstream.born_ms, 2'000);
+  expect_true(it.stored.claims[0].fence > fence_before);
+}
+
+Test(leader, asks_a_leaving_owner_to_release_everything) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  auto report = it.report("vm-1");
+  report.accepting = false;
+  it.subject.report_received(report, it.now);
+  it.subject.report_received(it.report("vm-2"), it.now);
+  it.run(milliseconds{200});
+  expect_false(it.subject.report_received(report, it.now).to_release.empty());
+}
+
+Test(leader, moves_the_densest_load_from_the_busiest_owner) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  const auto owned = *std::ranges::find_if(
+      it.stored.claims, [](const claim& each) { return each.holder.agent == "vm-1"; });
+  auto report = it.report("vm-1");
+  const shard_key hot = owned.keys.first + 10;
+  report.loads = {{{hot, hot + 3}, 3.0}, {{owned.keys.first + 100, owned.keys.last}, 8.0}};
+  leader_reply reply;
+  for (int i = 0; i < 10; ++i, it.now += milliseconds{100}) {
+    it.subject.report_received(it.report("vm-2"), it.now);
+    reply = it.subject.report_received(report, it.now);
+    it.tick();
+  }
+  expect_false(reply.to_release.empty());
+  expect_true(reply.to_release[0].keys == key_range{hot, hot + 3});
+}
+
+Test(leader, does_not_move_load_between_owners_that_are_about_even) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  for (int i = 0; i < 10; ++i, it.now += milliseconds{100}) {
+    for (const auto* agent : {"vm-1", "vm-2"}) {
+      auto report = it.report(agent);
+      const auto owned = *std::ranges::find_if(
+          it.stored.claims, [&](const claim& each) { return each.holder.agent == agent; });
+      report.loads = {{owned.keys, 9.0}};
+      expect_true(it.subject.report_received(report, it.now).to_release.empty());
+    }
+    it.tick();
+  }
+}
+
+Test(leader, a_write_without_an_answer_counts_once_the_store_shows_it) {
+  leader_fixture it;
+  it.loses_answers = true;
+  it.run(seconds{3});
+  expect_true(it.subject.leads(it.now));
+  expect_true(it.subject.map() == it.stored);
+}
+
+Test(leader, loses_the_lead_when_the_map_could_not_be_written_in_time) {
+  leader_fixture it;
+  it.run(seconds{3});
+  const auto end = it.now + it.timing.leader_right + seconds{1};
+  for (; it.now < end; it.now += milliseconds{100}) {
+    for (const auto& each : it.subject.tick(it.now)) {
+      if (std::holds_alternative<write_map>(each))
+        it.subject.map_written(write_result::no_answer, 0, it.now, it.now);
+      if (std::holds_alternative<read_map>(each)) it.subject.map_read(false, std::nullopt, it.now);
+    }
+  }
+  expect_false(it.subject.leads(it.now));
+}
+
+Test(leader, a_candidate_waits_until_the_right_of_a_silent_leader_is_over) {
+  leader_fixture it;
+  it.stored = empty_map("ledger");
+  it.stored.revision = it.revision;
+  it.stored.leader = "vm-3";
+  it.stored.leader_life = 4;
+  it.run(it.timing.leader_right - seconds{1});
+  expect_equal(it.stored.leader, "vm-3");
+  it.run(seconds{4});
+  expect_equal(it.stored.leader, "vm-9");
+}
+
+Test(leader, most_owners_word_lets_a_candidate_lead_at_once) {
+  leader_fixture it;
+  it.stored = empty_map("ledger");
+  it.stored.revision = it.revision;
+  it.stored.leader = "vm-3";
+  it.stored.leader_life = 4;
+  split_at(it.stored.claims, {0, 99});
+  split_at(it.stored.claims, {100, 199});
+  const char* agents[] = {"vm-1", "vm-2", "vm-4"};
+  for (std::size_t i = 0; i < 3; ++i) {
+    it.stored.claims[i].holder = {agents[i], 1};
+    it.stored.claims[i].upstream = {std::string("i-") + agents[i], 1'000};
+    it.stored.claims[i].fence = i + 1;
+  }
+  it.run(seconds{3});
+  const auto say = [&](const char* agent) {
+    auto report = it.report(agent);
+    report.rejected_life = 4;
+    it.subject.report_received(report, it.now);
+  };
+  say("vm-1");
+  it.run(milliseconds{200});
+  expect_equal(it.stored.leader, "vm-3", "one of three is not most");
+  say("vm-1");
+  say("vm-2");
+  it.run(milliseconds{200});
+  expect_equal(it.stored.leader, "vm-9");
+  // The third may still hear the old leader: it is not replaced while that one's right may last.
+  it.run_with({"vm-1", "vm-2"}, it.timing.owner_silence + milliseconds{300});
+  it.subject.owner_lease_read("vm-4", {.answered = true, .registration = 1, .revision = 77},
+                              it.now);
+  it.run_with({"vm-1", "vm-2"}, it.timing.lease_right + seconds{1});
+  expect_true(it.lease_deletions.empty());
+  it.run_with({"vm-1", "vm-2"}, it.timing.leader_right);
+  expect_equal(it.lease_deletions.size(), 1U);
+}
+
+Test(leader, begins_a_new_life_when_an_owner_has_rejected_the_present_one) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  const auto life = it.stored.leader_life;
+  auto report = it.report("vm-1");
+  report.rejected_life = life;
+  it.subject.report_received(report, it.now);
+  it.run(milliseconds{300});
+  expect_true(it.stored.leader_life > life);
+}
+
+Test(leader, a_resigning_leader_gives_no_more_rights) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  it.subject.resign();
+  expect_true(it.subject.report_received(it.report("vm-1"), it.now).right == duration{});
+  it.run(milliseconds{200});
+  expect_equal(it.stored.leader, "");
+}
+
+Test(leader, its_own_pause_proves_nothing_about_owners) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  it.now += seconds{5};
+  it.tick();
+  expect_true(it.lease_reads.empty());
+}
--- /dev/null
+++ b/tests/fleet/http_test.cpp
@@ -0,0 +1,291 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "expect.h"
+#include "fleet/internal/http_client.h"
+#include "fleet/internal/http_server.h"
+#include "masticshunt/support/clock.h"
+
+using namespace masticshunt;
+using namespace masticshunt::fleet;
+using namespace masticshunt::testing;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr duration patience = std::chrono::seconds{20};
+
+/// A peer that accepts connections one after the other, reads a request head and says what it was
+/// told to; an empty text closes the connection.
+struct scripted_peer {
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  std::vector<std::string> answers;
+  int connections = 0;
+
+  scripted_peer(asio::io_context& on, std::vector<std::string> says)
+      : context(on),
+        acceptor(on, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        answers(std::move(says)) {
+    asio::co_spawn(context, accept(), asio::detached);
+  }
+  endpoint address() const {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+  asio::awaitable<void> accept() {
+    for (;;) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      ++connections;
+      asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+    }
+  }
+  asio::awaitable<void> serve(tcp::socket socket) {
+    std::string received;
+    while (!answers.empty()) {
+      while (received.find("\r\n\r\n") == std::string::npos) {
+        std::array<char, 4096> bytes{};
+        const auto got = co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+        received.append(bytes.data(), got);
+      }
+      received.erase(0, received.find("\r\n\r\n") + 4);
+      const std::string answer = answers.front();
+      answers.erase(answers.begin());
+      if (answer.empty()) co_return;
+      co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+      if (answer.find("Content-Length") == std::string::npos) co_return;
+    }
+    co_await socket.async_wait(tcp::socket::wait_error, asio::use_awaitable);
+  }
+};
+
+std::string stated_id(const answer_head& head) {
+  const auto found = head.find("Id");
+  return found == head.end() ? std::string{} : std::string(found->value());
+}
+
+std::string answer(std::string_view body, std::string_view id = "") {
+  std::string text = "HTTP/1.1 200 OK\r\n";
+  if (!id.empty()) text.append("Id: ").append(id).append("\r\n");
+  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+/// Runs exchanges against `answers`, one after the other, and returns how they ended.
+std::vector<exchange_end> exchanges(const std::vector<std::string>& answers, std::size_t count,
+                                    const std::string& id = "", int* connections = nullptr,
+                                    duration time = patience) {
+  asio::io_context context;
+  scripted_peer peer(context, answers);
+  connection_pool pool(context.get_executor(), {});
+  std::vector<exchange_end> ends;
+  const auto run = [&]() -> asio::awaitable<void> {
+    for (std::size_t i = 0; i < count; ++i) {
+      cancellation nobody;
+      exchange_request request;
+      request.head = "GET / HTTP/1.1\r\nHost: a\r\n";
+      request.id = id;
+      request.id_of = &stated_id;
+      request.deadline = boot_now() + time;
+      auto end = co_await run_exchange(pool, peer.address(), std::move(request), nobody);
+      ends.push_back(std::move(end));
+    }
+    context.stop();
+  };
+  asio::co_spawn(context, run(), asio::detached);
+  context.run();
+  if (connections != nullptr) *connections = peer.connections;
+  return ends;
+}
+
+/// Sends `bytes` to a server with `handler` and returns all that comes back until the end.
+std::string conversation(const std::string& bytes, const request_handler& handler) {
+  asio::io_context context;
+  http_server server(context.get_executor(), handler);
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto place = probe.local_endpoint();
+  probe.close();
+  const auto why = server.start("127.0.0.1:" + std::to_string(place.port()));
+  expect_equal(why, "");
+  std::string received;
+  const auto talk = [&]() -> asio::awaitable<void> {
+    tcp::socket socket(context);
+    co_await socket.async_connect(place, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+    std::array<char, 4096> part{};
+    boost::system::error_code error;
+    while (!error) {
+      const auto got = co_await socket.async_read_some(
+          asio::buffer(part), asio::redirect_error(asio::use_awaitable, error));
+      received.append(part.data(), got);
+    }
+    context.stop();
+  };
+  asio::co_spawn(context, talk(), asio::detached);
+  context.run();
+  return received;
+}
+
+/// Runs an exchange with an address where nobody listens.
+exchange_end exchange_with_nobody() {
+  asio::io_context context;
+  connection_pool pool(context.get_executor(), {});
+  exchange_end end;
+  const auto run = [&]() -> asio::awaitable<void> {
+    cancellation nobody;
+    exchange_request request;
+    request.head = "GET / HTTP/1.1\r\n";
+    request.deadline = boot_now() + patience;
+    end = co_await run_exchange(pool, "127.0.0.1:1", std::move(request), nobody);
+  };
+  asio::co_spawn(context, run(), asio::detached);
+  context.run();
+  return end;
+}
+
+/// Sends a request, closes its connection, and returns whether the request was told.
+bool request_hears_of_departure() {
+  asio::io_context context;
+  std::shared_ptr<server_request> held;
+  http_server server(context.get_executor(), [&held](std::shared_ptr<server_request> request) {
+    held = std::move(request);
+  });
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto place = probe.local_endpoint();
+  probe.close();
+  expect_equal(server.start("127.0.0.1:" + std::to_string(place.port())), "");
+  bool left = false;
+  const auto talk = [&]() -> asio::awaitable<void> {
+    tcp::socket socket(context);
+    co_await socket.async_connect(place, asio::use_awaitable);
+    const std::string bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+    while (!held) co_await asio::post(context, asio::use_awaitable);
+    held->left.on_request([&] {
+      left = true;
+      context.stop();
+    });
+    socket.close();
+  };
+  asio::co_spawn(context, talk(), asio::detached);
+  context.run();
+  return left;
+}
+
+}  // namespace
+
+Test(exchange, returns_a_whole_answer) {
+  const auto ends = exchanges({answer("hello")}, 1);
+  expect_true(ends[0].result == exchange_result::answered);
+  expect_equal(ends[0].body->held(), "hello");
+}
+
+Test(exchange, uses_a_sound_connection_again) {
+  int connections = 0;
+  const auto ends = exchanges({answer("a"), answer("b")}, 2, "", &connections);
+  expect_true(ends[1].reused);
+  expect_equal(connections, 1);
+}
+
+Test(exchange, an_answer_that_breaks_off_is_broken) {
+  const auto ends = exchanges({"HTTP/1.1 200 OK\r\nX: Content-Lengt\r\nContent-Length"
+                               ": 10\r\n\r\nhalf"},
+                              1, "", nullptr, std::chrono::milliseconds{300});
+  expect_true(ends[0].result == exchange_result::broken ||
+              ends[0].result == exchange_result::timed_out);
+}
+
+Test(exchange, a_closed_connection_without_an_answer_is_broken) {
+  expect_true(exchanges({""}, 1)[0].result == exchange_result::broken);
+}
+
+Test(exchange, bytes_that_are_no_answer_are_garbled) {
+  expect_true(exchanges({"ABRACADABRA\r\n\r\n"}, 1)[0].result == exchange_result::garbled);
+}
+
+Test(exchange, an_answer_without_a_length_ends_with_its_connection) {
+  const auto ends = exchanges({"HTTP/1.1 200 OK\r\n\r\nall of it"}, 1);
+  expect_true(ends[0].result == exchange_result::answered);
+  expect_equal(ends[0].body->held(), "all of it");
+}
+
+Test(exchange, the_answer_of_another_request_is_skipped) {
+  const auto ends = exchanges({answer("stray", "other") + answer("mine", "me")}, 1, "me");
+  expect_true(ends[0].result == exchange_result::answered);
+  expect_equal(ends[0].body->held(), "mine");
+}
+
+Test(exchange, a_connection_with_bytes_behind_the_answer_is_not_used_again) {
+  int connections = 0;
+  exchanges({answer("a", "me") + answer("extra", "me"), answer("b", "me")}, 2, "me", &connections);
+  expect_equal(connections, 2);
+}
+
+Test(exchange, a_silent_peer_times_out) {
+  const auto ends = exchanges({answer("a"), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"}, 2, "",
+                              nullptr, std::chrono::milliseconds{200});
+  expect_true(ends[1].result == exchange_result::timed_out);
+}
+
+Test(exchange, nobody_listening_means_nothing_was_sent) {
+  expect_true(exchange_with_nobody().result == exchange_result::not_connected);
+}
+
+Test(server, answers_pipelined_requests_in_their_order) {
+  std::vector<std::shared_ptr<server_request>> held;
+  const auto received = conversation(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+      [&held](std::shared_ptr<server_request> request) {
+        held.push_back(std::move(request));
+        if (held.size() < 2) return;
+        held[1]->respond({.text = "second"});
+        held[0]->respond({.text = "first"});
+      });
+  expect_true(received.find("first") < received.find("second"), received);
+  expect_true(received.find("second") != std::string::npos, received);
+}
+
+Test(server, takes_a_chunked_body_whole) {
+  const auto received = conversation(
+      "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      [](const std::shared_ptr<server_request>& request) {
+        request->body->on_change([request] {
+          if (request->body->complete()) request->respond({.text = request->body->held()});
+        });
+        if (request->body->complete()) request->respond({.text = request->body->held()});
+      });
+  expect_true(received.find("abcde") != std::string::npos, received);
+}
+
+Test(server, refuses_what_is_no_request) {
+  const auto received = conversation("NONSENSE\r\n\r\n", [](const auto&) {});
+  expect_true(received.starts_with("HTTP/1.1 400"), received);
+}
+
+Test(server, an_answer_that_is_cut_off_does_not_look_complete) {
+  const auto received = conversation("GET / HTTP/1.1\r\nHost: a\r\n\r\n", [](const auto& request) {
+    auto body = std::make_shared<body_pipe>();
+    body->announce(2 * body_pipe::held_max);
+    body->append(std::string(body_pipe::held_max, 'x'));
+    request->respond({.body = body});
+    body->fail();
+  });
+  expect_true(received.size() < 2 * body_pipe::held_max);
+  expect_true(received.find("Content-Length: 1048576") != std::string::npos);
+}
+
+Test(server, tells_a_request_that_its_sender_has_left) {
+  expect_true(request_hears_of_departure());
+}
--- /dev/null
+++ b/tests/fleet/settings_test.cpp
@@ -0,0 +1,71 @@
+#include "masticshunt/fleet/settings.h"
+
+#include "expect.h"
+
+using namespace masticshunt;
+using namespace masticshunt::fleet;
+using namespace masticshunt::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view sample =
+    "[agent]\nname = vm-1\nip = 10.0.0.1\nzone = z\nregion = r\nfirst_start = true\n"
+    "[listen]\ncallers = 10.0.0.1:8000\nreadiness = 10.0.0.1:8001\nupstream = 10.0.0.1:8002\n"
+    "peer_port = 7600\nmetrics_port = 7601\n"
+    "[upstream]\naddress = 10.0.0.1:8080\nservice = ledger\nheartbeat = 870ms\n"
+    "[store]\naddress = 10.0.0.9:9000\n"
+    "[bounds]\ndrain = 2000ms\ngrace = 6s\nrepeat_ratio = 0.2\nrepeat_slack = 60\n";
+
+std::string replaced(std::string_view what, std::string_view by) {
+  std::string result(sample);
+  result.replace(result.find(what), what.size(), by);
+  return result;
+}
+
+std::string refusal_of(const std::string& text) {
+  failure reason;
+  expect_false(parse_fleet_settings("agent.ini", text, reason).has_value());
+  return reason.describe();
+}
+
+}  // namespace
+
+Test(fleet_settings, are_read_whole) {
+  failure reason;
+  const auto settings = parse_fleet_settings("agent.ini", sample, reason);
+  expect_true(settings.has_value(), reason.describe());
+  expect_equal(settings->peer_address(), "10.0.0.1:7600");
+  expect_true(settings->heartbeat == milliseconds{870});
+  expect_true(settings->grace == milliseconds{6'000});
+  expect_true(settings->first_start);
+}
+
+Test(fleet_settings, a_missing_required_entry_is_named) {
+  expect_true(refusal_of(replaced("name = vm-1\n", "")).find("[agent] name") != std::string::npos);
+}
+
+Test(fleet_settings, an_invalid_value_is_named_with_its_line) {
+  const auto why = refusal_of(replaced("peer_port = 7600", "peer_port = many"));
+  expect_true(why.find("agent.ini:11") != std::string::npos, why);
+}
+
+Test(fleet_settings, an_address_needs_a_port) {
+  expect_true(refusal_of(replaced("10.0.0.9:9000", "10.0.0.9")).find("IP:PORT") !=
+              std::string::npos);
+}
+
+Test(fleet_settings, an_optional_entry_keeps_its_default) {
+  failure reason;
+  const auto settings = parse_fleet_settings("agent.ini", replaced("drain = 2000ms\n", ""), reason);
+  expect_true(settings && settings->drain == milliseconds{2'000}, reason.describe());
+}
+
+Test(fleet_settings, changed_entries_are_named) {
+  failure reason;
+  const auto before = *parse_fleet_settings("agent.ini", sample, reason);
+  const auto after =
+      *parse_fleet_settings("agent.ini", replaced("grace = 6s", "grace = 7s"), reason);
+  expect_equal(changed_entries(before, after), "bounds.grace");
+  expect_equal(changed_entries(before, before), "");
+}
--- /dev/null
+++ b/tests/platform_adapter/documents_test.cpp
@@ -0,0 +1,136 @@
+#include "platform/documents.h"
+
+#include "expect.h"
+
+using namespace masticshunt;
+using namespace masticshunt::platform;
+using namespace masticshunt::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view beat =
+    R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","version":"v1","capacity":6,)"
+    R"("state":"ready","warmupLeft":"1.5s","sequence":4,"born":1700000000000})";
+
+constexpr std::string_view state =
+    R"({"version":"0000000c","routes":{"r1":{"host":"h.example","pathPrefix":"/a/",)"
+    R"("kind":"safe","timeout":"1200ms","aim":"250ms","priority":0,)"
+    R"("weightedBackends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+    R"("maxAttempts":2},"r2":{"host":"h.example","pathPrefix":"/b/","kind":"upload",)"
+    R"("timeout":"2.5s","aim":"400ms","priority":1,"service":"s2","maxAttempts":1}},)"
+    R"("services":{"s1":{"healthPath":"/healthz","maxConnections":120,"protocol":"h1",)"
+    R"("tls":false,"sharded":true,"warm":"3s","grants":"call"},)"
+    R"("s2":{"healthPath":"/healthz","maxConnections":65,"protocol":"h1","tls":false}},)"
+    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeout":"3000ms",)"
+    R"("idleTimeout":"15000ms"},"baseVersion":"00000005"})";
+
+std::string replaced(std::string_view text, std::string_view what, std::string_view by) {
+  std::string result(text);
+  result.replace(result.find(what), what.size(), by);
+  return result;
+}
+
+}  // namespace
+
+Test(heartbeat, is_decoded_whole) {
+  failure reason;
+  const auto read = decode_heartbeat("i-1", beat, reason);
+  expect_true(read.has_value(), reason.describe());
+  expect_true(read->life == routing::upstream_life{"i-1", 1'700'000'000'000});
+  expect_equal(read->slots, 6U);
+  expect_equal(read->sequence, 4U);
+  expect_false(read->leaving);
+  expect_true(read->slow_for == milliseconds{1'500});
+}
+
+Test(heartbeat, without_a_needed_field_is_refused) {
+  for (const std::string_view field :
+       {"\"service\"", "\"address\"", "\"capacity\"", "\"sequence\""}) {
+    failure reason;
+    expect_false(decode_heartbeat("i-1", replaced(beat, field, "\"other\""), reason).has_value(),
+                 field);
+  }
+}
+
+Test(heartbeat, with_a_field_of_another_type_or_state_is_refused) {
+  failure reason;
+  expect_false(decode_heartbeat("i-1", replaced(beat, ":4", ":\"4\""), reason).has_value());
+  expect_false(decode_heartbeat("i-1", replaced(beat, ":6", ":6.5"), reason).has_value());
+  expect_false(decode_heartbeat("i-1", replaced(beat, ":6", ":0"), reason).has_value());
+  expect_false(decode_heartbeat("i-1", replaced(beat, "ready", "lost"), reason).has_value());
+  expect_false(decode_heartbeat("i-1", replaced(beat, "1700000000000", "1.5"), reason).has_value());
+  expect_false(decode_heartbeat("i-1", "\x01\x02", reason).has_value());
+}
+
+Test(desired_state, is_decoded_whole) {
+  failure reason;
+  const auto read = decode_desired_state(state, reason);
+  expect_true(read.has_value(), reason.describe());
+  expect_equal(read->version, 12U);
+  expect_equal(read->routes.size(), 2U);
+  expect_true(read->routes[0].repeats == routing::repeat_rule::idempotent);
+  expect_equal(read->routes[0].services.size(), 2U);
+  expect_true(read->routes[1].repeats == routing::repeat_rule::at_most_once);
+  expect_true(read->routes[1].timeout == milliseconds{2'500});
+  expect_true(read->services.at("s1").keyed);
+  expect_false(read->services.at("s2").keyed);
+  expect_equal(read->limits.body_bytes, 1'000U);
+}
+
+Test(desired_state, that_breaks_off_is_refused_with_a_reason) {
+  failure reason;
+  expect_false(decode_desired_state(state.substr(0, 200), reason).has_value());
+  expect_true(reason.kind == failure_kind::bad_input);
+  expect_false(decode_desired_state(replaced(state, "1200ms", "soon"), reason).has_value());
+}
+
+Test(objects, are_decoded_with_their_revisions) {
+  failure reason;
+  const auto read =
+      decode_object(R"({"metadata":{"name":"a","revision":412,"createRevision":9,"finalizers":[],)"
+                    R"("deleting":false},"spec":{"x":1},"status":null})",
+                    reason);
+  expect_true(read.has_value(), reason.describe());
+  expect_equal(read->revision, 412U);
+  expect_equal(read->created, 9U);
+  expect_equal(read->spec, R"({"x":1})");
+}
+
+Test(objects, pages_and_changes_are_decoded) {
+  failure reason;
+  const auto page = decode_page(
+      R"({"items":[{"metadata":{"name":"a","revision":1}}],"hasMore":true,"at":530})", reason);
+  expect_true(page && page->more && page->revision == 530 && page->objects.size() == 1,
+              reason.describe());
+  const auto changes = decode_changes(
+      R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":2}}}],"at":533})",
+      reason);
+  expect_true(changes && changes->revision == 533 && changes->changes[0].deleted,
+              reason.describe());
+}
+
+Test(objects, a_condition_is_written_only_if_there_is_one) {
+  expect_true(encode_object("a", "{}", 7).find("\"revision\":7") != std::string::npos);
+  expect_true(encode_object("a", "{}", std::nullopt).find("revision") == std::string::npos);
+}
+
+Test(registrations, come_back_as_they_were_written) {
+  const routing::registration entry{.agent = "vm-1",
+                                    .address = "10.0.0.1:7600",
+                                    .zone = "z",
+                                    .region = "r",
+                                    .service = "s1",
+                                    .life = {"i-1", 5},
+                                    .stage = routing::upstream_stage::draining,
+                                    .slots = 6};
+  failure reason;
+  expect_true(decode_registration("vm-1", encode_registration(entry), reason) == entry,
+              reason.describe());
+}
+
+Test(grants, are_written_as_the_upstream_reads_them) {
+  expect_equal(encode_grant({4096, 8191}, 12, milliseconds{4'000}, ""),
+               R"({"fence":12,"from":4096,"hold_time":"4000ms","to":8191})");
+  expect_equal(encode_release({4096, 8191}, 12), R"({"fence":12,"from":4096,"to":8191})");
+}
