Close three ways to two owners: equal lives, uncommitted lives, a restarted owner's word

Read from the code: a restarted owner could grant a range that its earlier process had given back. Change: a write is named by writer, life and beat; lives carry the agent's name; replies speak of the life that the store holds and count only from the leader that the owner's map names; no rights while a refused write is not understood; a new process grants nothing before a leader has answered it, and gets no right while a write is on its way. A test for each failed first. Ruled out: late grants, a merge of neighbours, a wrong deletion of a lease.

--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -81,8 +81,10 @@
 /// Thread safety: none.
 class claim_holder {
  public:
-  claim_holder(std::string service, std::string agent, endpoint address, claim_timing timing,
-               time_point now);
+  /// `life` is the process's own; an earlier process on this VM may have given its word on ranges,
+  /// so nothing is granted before a leader has answered this one.
+  claim_holder(std::string service, std::string agent, endpoint address, std::uint64_t life,
+               claim_timing timing, time_point now);
 
   /// Lets time act.
   holder_actions tick(time_point now);
@@ -155,6 +157,7 @@
   std::string service_;
   std::string agent_;
   endpoint address_;
+  std::uint64_t life_;
   claim_timing timing_;
   claim_map map_;
   std::optional<upstream_life> upstream_;  ///< The newest life that was heard of.
@@ -175,6 +178,7 @@
   time_point right_by_reply_{};
   time_point right_by_lease_{};
   time_point last_reply_{};
+  bool answered_ = false;  ///< A leader has given this process a right.
   bool report_in_flight_ = false;
   std::uint64_t rejected_life_ = 0;
   std::vector<endpoint> candidates_;
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -62,7 +62,8 @@
 struct claim_map {
   std::string service;
   std::uint64_t revision = 0;  ///< The store's; zero before the first write.
-  std::uint64_t beat = 0;      ///< Counts writes; with `leader_life` it identifies a write.
+  std::uint64_t beat = 0;      ///< Counts writes; with the writer and its life it names a write.
+  std::string writer;          ///< The agent that wrote the map.
   std::string leader;          ///< Empty once the leader has given the leadership back.
   endpoint leader_address;
   std::uint64_t leader_life = 0;
@@ -105,9 +106,10 @@
   std::string service;
   holder_id holder;
   endpoint address;
-  upstream_life upstream;   ///< Empty id: no upstream is there.
-  bool accepting = false;   ///< The upstream is ready and stays.
-  bool restarting = false;  ///< The agent is about to restart; its upstream goes on.
+  std::uint64_t agent_life = 0;  ///< Of the agent's process.
+  upstream_life upstream;        ///< Empty id: no upstream is there.
+  bool accepting = false;        ///< The upstream is ready and stays.
+  bool restarting = false;       ///< The agent is about to restart; its upstream goes on.
   std::uint32_t slots = 1;
   duration service_time{};
   std::uint64_t map_revision = 0;
--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -86,7 +86,7 @@
 
   /// Returns true while this agent holds the leadership.
   [[nodiscard]] bool leads(time_point now) const {
-    return holds_ && !leaving_ && now < leader_until_;
+    return holds_ && !leaving_ && !overtaken_ && now < leader_until_;
   }
   /// Returns the newest map known to be in the store; its revision is zero if none is known.
   [[nodiscard]] const claim_map& map() const { return map_; }
@@ -94,6 +94,7 @@
  private:
   struct owner {
     owner_report report;
+    std::uint64_t agent_life = 0;  ///< Of the process that reports.
     time_point last_report{};
     time_point rejected{};     ///< When it last said that it rejects the present leader.
     time_point right_until{};  ///< By the replies it was sent.
@@ -149,6 +150,7 @@
   bool read_in_flight_ = false;
 
   bool holds_ = false;
+  bool overtaken_ = false;           ///< The store refused the last write; why is not known yet.
   bool rejected_ = false;            ///< An owner accepts no replies of this life in the lead.
   time_point earlier_leader_end_{};  ///< Of the leader before.
   time_point leader_since_{};
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -22,10 +22,11 @@
 }  // namespace
 
 claim_holder::claim_holder(std::string service, std::string agent, endpoint address,
-                           claim_timing timing, time_point now)
+                           std::uint64_t life, claim_timing timing, time_point now)
     : service_(std::move(service)),
       agent_(std::move(agent)),
       address_(std::move(address)),
+      life_(life),
       timing_(timing),
       began_(now) {}
 
@@ -117,11 +118,13 @@
     next_report_ = now + retry_after_failure;
     return;
   }
+  if (reply->map) map_seen(*reply->map, now);
+  if (reply->leader_life != map_.leader_life) return;
   if (reply->right > duration{}) {
+    answered_ = true;
     right_by_reply_ = std::max(right_by_reply_, sent + reply->right);
     last_reply_ = now;
   }
-  if (reply->map) map_seen(*reply->map, now);
   for (const auto& each : reply->to_release) start_release(each.keys, each.fence, now);
 }
 
@@ -279,7 +282,7 @@
 }
 
 void claim_holder::grant_due(time_point now, holder_actions& out) {
-  if (!present_) return;
+  if (!present_ || !answered_) return;
   const duration left =
       scaled(right_end() - now - 2 * timing_.margin, 1 / (1 + timing_.upstream_clock_error));
   const duration hold = std::min(restarting_ ? timing_.restart_right : timing_.hold, left);
@@ -362,6 +365,7 @@
   owner_report report{.service = service_,
                       .holder = {agent_, registration_.value_or(0)},
                       .address = address_,
+                      .agent_life = life_,
                       .upstream = present_ ? *upstream_ : upstream_life{},
                       .accepting = present_ && stays_,
                       .restarting = restarting_,
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -102,6 +102,7 @@
   return {{"service", map.service},
           {"revision", map.revision},
           {"beat", map.beat},
+          {"writer", map.writer},
           {"leader", map.leader},
           {"leader_address", map.leader_address},
           {"leader_life", map.leader_life},
@@ -114,6 +115,7 @@
   map.service = in.at("service").get<std::string>();
   map.revision = in.at("revision").get<std::uint64_t>();
   map.beat = in.at("beat").get<std::uint64_t>();
+  map.writer = in.at("writer").get<std::string>();
   map.leader = in.at("leader").get<std::string>();
   map.leader_address = in.at("leader_address").get<std::string>();
   map.leader_life = in.at("leader_life").get<std::uint64_t>();
@@ -144,6 +146,7 @@
   return {{"service", report.service},
           {"holder", pack(report.holder)},
           {"address", report.address},
+          {"agent_life", report.agent_life},
           {"upstream", pack(report.upstream)},
           {"accepting", report.accepting},
           {"restarting", report.restarting},
@@ -162,6 +165,7 @@
   report.service = in.at("service").get<std::string>();
   report.holder = unpack_holder(in.at("holder"));
   report.address = in.at("address").get<std::string>();
+  report.agent_life = in.at("agent_life").get<std::uint64_t>();
   report.upstream = unpack_life(in.at("upstream"));
   report.accepting = in.at("accepting").get<bool>();
   report.restarting = in.at("restarting").get<bool>();
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -107,6 +107,7 @@
 
 void leader::propose(claim_map next, time_point now, leader_actions& out) {
   next.beat = map_.beat + 1;
+  next.writer = agent_;
   next.leader_life = life_;
   pending_ = std::move(next);
   if (!doubt_since_) doubt_since_ = now;
@@ -135,13 +136,14 @@
   next_read_ = now + (answered && !in_doubt_ ? read_interval : retry_interval);
   if (!answered) return;
   store_known_ = true;
+  overtaken_ = false;
   if (!map) {
     if (in_doubt_) in_doubt_ = false;
     return;
   }
   if (in_doubt_ && pending_) {
     in_doubt_ = false;
-    if (map->leader_life == life_ && map->beat == pending_->beat) {
+    if (map->writer == agent_ && map->leader_life == life_ && map->beat == pending_->beat) {
       // One of the writes in doubt took effect, perhaps not the last: what the store shows counts.
       pending_ = *map;
       map_written(write_result::taken, map->revision, *doubt_since_, now);
@@ -149,7 +151,8 @@
     }
     if (map->revision == map_.revision) return;  // Not applied yet; it is decided anew.
   }
-  if (holds_ && map->revision > map_.revision && map->leader_life != life_) {
+  if (holds_ && map->revision > map_.revision &&
+      (map->writer != agent_ || map->leader_life != life_)) {
     holds_ = false;
     notes_.push_back("leadership lost to=" + map->leader);
   }
@@ -161,6 +164,7 @@
   write_in_flight_ = false;
   if (result != write_result::taken) {
     in_doubt_ = true;
+    overtaken_ = result == write_result::conflict;
     next_read_ = result == write_result::conflict ? now : now + retry_interval;
     return;
   }
@@ -188,7 +192,7 @@
 }
 
 leader_reply leader::report_received(const owner_report& report, time_point now) {
-  leader_reply reply{.is_leader = leads(now), .leader_life = life_};
+  leader_reply reply{.is_leader = leads(now), .leader_life = map_.leader_life};
   if (report.service != service_) return reply;
   if (!reply.is_leader) {
     owner& candidate_of = owners_[report.holder.agent];
@@ -206,8 +210,12 @@
   one.last_report = now;
   one.suspected = false;
   one.lease_revision.reset();
-  const bool alive = registration > one.ended && !one.deleting;
-  if (report.rejected_life == life_) rejected_ = true;
+  // A write on its way may rest on the word of the owner's earlier process.
+  const bool restarted = one.agent_life != report.agent_life;
+  const bool word_may_count = restarted && (write_in_flight_ || in_doubt_);
+  if (!word_may_count) one.agent_life = report.agent_life;
+  const bool alive = registration > one.ended && !one.deleting && !word_may_count;
+  if (report.rejected_life == map_.leader_life) rejected_ = true;
   const duration wanted = report.restarting ? timing_.restart_right : timing_.reply_right;
   if (alive && now + wanted < leader_until_) {
     reply.right = wanted;
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -29,10 +29,13 @@
 constexpr unsigned status_not_ready = 503;
 constexpr unsigned status_not_found = 404;
 
-std::uint64_t life_of_process() {
+/// Returns a number that no other process of the fleet has: its start, and its agent's name.
+std::uint64_t life_of_process(const std::string& name) {
+  constexpr unsigned name_bits = 16;
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
+  const auto start = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  return (start << name_bits) | (std::hash<std::string>{}(name) & ((1U << name_bits) - 1));
 }
 
 }  // namespace
@@ -42,7 +45,7 @@
       settings_(std::move(settings)),
       path_(std::move(path)),
       log_(STDOUT_FILENO, settings_.name),
-      life_(life_of_process()),
+      life_(life_of_process(settings_.name)),
       known_(settings_),
       peer_pool_(context.get_executor(), {.idle_limit = peer_pool_idle}),
       store_(context.get_executor(), settings_.store, log_),
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -114,7 +114,7 @@
   if (known != nullptr && known->keyed && (!holder_ || holder_service_ != service)) {
     holder_service_ = service;
     holder_ = std::make_unique<claims::claim_holder>(service, settings_.name,
-                                                     settings_.peer_address(), timing_, now);
+                                                     settings_.peer_address(), life_, timing_, now);
     gate_.set_holder(holder_.get());
     if (const auto* map = known_.find_map(service)) holder_->map_seen(*map, now);
   }
--- a/tests/decisions/claims/claim_holder_test.cpp
+++ b/tests/decisions/claims/claim_holder_test.cpp
@@ -18,7 +18,7 @@
 struct holder_fixture {
   claim_timing timing;
   time_point now{seconds{100}};
-  claim_holder subject{"ledger", "vm-1", "10.0.0.1:7600", timing, now};
+  claim_holder subject{"ledger", "vm-1", "10.0.0.1:7600", 1, timing, now};
 
   template <class Action>
   std::vector<Action> tick() {
@@ -236,6 +236,28 @@
   expect_true(it.subject.right_end() == before);
 }
 
+Test(claim_holder, accepts_replies_only_of_the_leader_that_its_map_names) {
+  holder_fixture it;
+  it.register_as(7);
+  it.subject.map_seen(it.map_naming(7, 1, 10), it.now);
+  it.subject.leader_answered(leader_reply{.right = seconds{2}, .is_leader = true, .leader_life = 2},
+                             it.now, it.now);
+  expect_true(it.subject.right_end() <= it.now + it.timing.lease_right);
+  expect_true(it.tick<grant_keys>().empty());
+}
+
+Test(claim_holder, a_new_process_grants_nothing_before_a_leader_has_answered_it) {
+  holder_fixture it;
+  it.register_as(7);
+  it.subject.map_seen(it.map_naming(7, 1, 10), it.now);
+  it.subject.lease_seen({.answered = true, .written = true, .registration = 7, .revision = 6},
+                        it.now, it.now);
+  expect_true(it.subject.right_end() > it.now);
+  expect_true(it.tick<grant_keys>().empty());
+  it.reply(it.timing.reply_right);
+  expect_equal(it.tick<grant_keys>().size(), 1U);
+}
+
 Test(claim_holder, an_older_map_changes_nothing) {
   holder_fixture it;
   it.register_as(7);
--- a/tests/decisions/claims/claim_map_test.cpp
+++ b/tests/decisions/claims/claim_map_test.cpp
@@ -88,6 +88,7 @@
   const owner_report report{.service = "ledger",
                             .holder = {"vm-1", 7},
                             .address = "10.0.0.1:7600",
+                            .agent_life = 3,
                             .upstream = {"i-1", 5},
                             .accepting = true,
                             .restarting = true,
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -53,6 +53,7 @@
     return {.service = "ledger",
             .holder = {agent, registration},
             .address = "10.0.0.1:7600",
+            .agent_life = 1,
             .upstream = {"i-" + agent, 1'000},
             .accepting = true,
             .slots = 12,
@@ -309,6 +310,58 @@
   expect_true(it.stored.leader_life > life);
 }
 
+Test(leader, does_not_take_the_write_of_an_agent_with_the_same_life_for_its_own) {
+  leader_fixture it;
+  it.run(seconds{1});
+  // Both started in the same millisecond and write for the first time at once.
+  const auto actions = it.subject.tick(it.now + seconds{1});
+  const auto write = std::ranges::find_if(
+      actions, [](const auto& each) { return std::holds_alternative<write_map>(each); });
+  expect_true(write != actions.end());
+  it.stored = std::get<write_map>(*write).map;
+  it.stored.leader = it.stored.writer = "vm-3";
+  it.stored.leader_address = "10.0.0.3:7600";
+  it.stored.revision = ++it.revision;
+  it.now += seconds{1};
+  it.subject.map_written(write_result::conflict, 0, it.now, it.now);
+  it.run(seconds{3});
+  expect_false(it.subject.leads(it.now));
+  expect_equal(it.stored.leader, "vm-3");
+}
+
+Test(leader, speaks_of_a_new_life_only_once_the_store_holds_it) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  const auto life = it.stored.leader_life;
+  auto report = it.report("vm-1");
+  report.rejected_life = life;
+  it.subject.report_received(report, it.now);
+  it.now += seconds{1};
+  it.subject.tick(it.now);  // The write of the new life is on its way.
+  expect_equal(it.subject.report_received(report, it.now).leader_life, life);
+}
+
+Test(leader, gives_no_right_while_its_map_was_overtaken) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  it.now += it.timing.leader_beat;
+  it.subject.tick(it.now);
+  it.subject.map_written(write_result::conflict, 0, it.now, it.now);
+  expect_true(it.subject.report_received(it.report("vm-1"), it.now).right == duration{});
+}
+
+Test(leader, a_restarted_owner_gets_no_right_while_a_write_is_on_its_way) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  it.now += it.timing.leader_beat;
+  it.subject.tick(it.now);
+  auto report = it.report("vm-1");
+  report.agent_life = 2;
+  expect_true(it.subject.report_received(report, it.now).right == duration{});
+  it.subject.map_written(write_result::taken, ++it.revision, it.now, it.now);
+  expect_true(it.subject.report_received(report, it.now).right > duration{});
+}
+
 Test(leader, a_resigning_leader_gives_no_more_rights) {
   leader_fixture it;
   it.run_with({"vm-1"}, seconds{6});
