--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -48,7 +48,12 @@
 /// @}
 
 /// What became of a conditional write or deletion.
-enum class write_result { taken, conflict, no_answer };
+enum class write_result {
+  taken,
+  conflict,   ///< The condition does not hold.
+  refused,    ///< The store did nothing.
+  no_answer,  ///< It may have taken effect, or may yet.
+};
 
 /// Changes owners on evidence, balances their load, and renews the right of living owners.
 ///
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -10,6 +10,7 @@
 
 constexpr duration candidate_stagger = std::chrono::milliseconds{400};
 constexpr duration read_interval = std::chrono::milliseconds{2'000};
+constexpr duration refused_pause = std::chrono::milliseconds{500};
 constexpr duration retry_interval = std::chrono::milliseconds{250};
 constexpr duration rejected_fresh = std::chrono::milliseconds{1'200};
 constexpr duration first_leader_after = std::chrono::milliseconds{1'500};
@@ -162,6 +163,10 @@
 void leader::map_written(write_result result, std::uint64_t revision, time_point sent,
                          time_point now) {
   write_in_flight_ = false;
+  if (result == write_result::refused) {
+    next_write_ = now + refused_pause;
+    return;
+  }
   if (result != write_result::taken) {
     in_doubt_ = true;
     overtaken_ = result == write_result::conflict;
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -29,8 +29,19 @@
 
 claims::write_result write_result_of(const store_answer& answer) {
   if (!answer.verdict) return claims::write_result::no_answer;
-  return *answer.verdict == store_verdict::done ? claims::write_result::taken
-                                                : claims::write_result::conflict;
+  switch (*answer.verdict) {
+    case store_verdict::done:
+      return claims::write_result::taken;
+    case store_verdict::refused:
+      return claims::write_result::refused;
+    case store_verdict::unreadable:
+      return claims::write_result::no_answer;
+    case store_verdict::missing:
+    case store_verdict::conflict:
+    case store_verdict::history_gone:
+      break;
+  }
+  return claims::write_result::conflict;
 }
 
 }  // namespace
@@ -369,9 +380,7 @@
   const auto answer = co_await store_.call(
       platform::delete_object(platform::kind_leases, what.agent, what.revision),
       timing_.call_timeout);
-  auto result = write_result_of(answer);
-  // A refused call has done nothing, but is no conflict either: it is to be tried again.
-  if (answer.verdict == store_verdict::refused) result = claims::write_result::no_answer;
+  const auto result = write_result_of(answer);
   leaders_.at(service)->owner_lease_deleted(what.agent, result, boot_now());
   tick(boot_now());
 }
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -22,8 +22,8 @@
 
 constexpr milliseconds shortest_attempt{5};
 constexpr duration owner_poll = milliseconds{25};
-constexpr double owner_wait_share = 0.3;  // of the time that the request has
-constexpr duration owner_wait_max = milliseconds{600};
+constexpr double owner_wait_share = 0.25;  // of the time that the request has
+constexpr duration owner_wait_max = milliseconds{400};
 constexpr int gates_tried_max = 4;
 constexpr int attempts_max = 16;
 constexpr milliseconds come_back_soon{60};
@@ -56,7 +56,7 @@
   std::uint32_t ran = 0;      ///< Attempts that may have run.
   int attempts = 0;
   int gates_full = 0;
-  duration waited{};
+  std::optional<time_point> pending_since;  ///< Since the owner is waited for.
   refusal last_refusal = refusal::no_upstream;
   milliseconds retry_after{0};
   std::string detail;
@@ -215,11 +215,12 @@
   const auto whole = now.deadline - now.request->arrived;
   const auto most =
       std::min(owner_wait_max, std::chrono::duration_cast<duration>(whole * owner_wait_share));
-  if (now.waited >= most) co_return false;
+  const auto moment = boot_now();
+  if (!now.pending_since) now.pending_since = moment;
+  if (moment - *now.pending_since >= most) co_return false;
   asio::steady_timer pause(executor_, owner_poll);
   boost::system::error_code ignored;
   co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  now.waited += owner_poll;
   co_return true;
 }
 
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr duration key_wait_max = std::chrono::milliseconds{500};
+constexpr duration key_wait_max = std::chrono::milliseconds{250};
 constexpr duration key_wait_step = std::chrono::milliseconds{15};
-constexpr double key_wait_share = 0.4;  // of the time left
+constexpr double key_wait_share = 0.25;  // of the time left
 constexpr duration answer_grace = std::chrono::milliseconds{40};
 constexpr double service_time_step = 0.05;
 constexpr duration idle_limit_unstated = std::chrono::seconds{4};
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -350,6 +350,23 @@
   expect_true(it.subject.report_received(it.report("vm-1"), it.now).right == duration{});
 }
 
+Test(leader, leads_on_while_the_store_refuses_its_writes) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  const auto end = it.now + it.timing.leader_right - it.timing.leader_beat - seconds{3};
+  int writes = 0;
+  for (; it.now < end; it.now += milliseconds{100}) {
+    expect_true(it.subject.report_received(it.report("vm-1"), it.now).right > duration{});
+    for (const auto& each : it.subject.tick(it.now)) {
+      expect_false(std::holds_alternative<read_map>(each), "a refused write needs no reading back");
+      if (!std::holds_alternative<write_map>(each)) continue;
+      ++writes;
+      it.subject.map_written(write_result::refused, 0, it.now, it.now);
+    }
+  }
+  expect_true(writes > 1 && writes < 20);
+}
+
 Test(leader, a_restarted_owner_gets_no_right_while_a_write_is_on_its_way) {
   leader_fixture it;
   it.run_with({"vm-1"}, seconds{6});
