--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -63,7 +63,14 @@
 };
 
 /// How a grant ended.
-enum class grant_result { granted, refused, newer_fence, no_answer };
+enum class grant_result {
+  granted,
+  refused,      ///< Nothing was granted.
+  newer_fence,  ///< The upstream knows a higher fence on one of the keys.
+  no_answer,    ///< It may be applied, also later.
+  cut_off,      ///< The same, and the connection ended: another life may be there next.
+  unreachable   ///< Nothing was sent; another life may be at the address next.
+};
 
 /// Whether a request may go to the upstream now.
 enum class hold_state {
@@ -88,9 +95,9 @@
 
   /// Lets time act.
   holder_actions tick(time_point now);
-  /// The upstream beside this agent told of itself, or ceased to (nothing).
+  /// The upstream beside this agent told of itself last at `heard`, or ceased to (nothing).
   void upstream_is(std::optional<upstream_life> life, bool stays, std::uint32_t slots,
-                   time_point now);
+                   time_point heard, time_point now);
   /// This agent is about to restart while its upstream goes on: keys are granted for longer.
   void restart(time_point now);
   /// Sets the agents that may become the next leader, the first choice first.
@@ -162,6 +169,7 @@
   claim_map map_;
   std::optional<upstream_life> upstream_;  ///< The newest life that was heard of.
   bool present_ = false;
+  std::optional<time_point> doubted_since_;  ///< The address failed; who is there is not known.
   bool stays_ = false;
   bool restarting_ = false;
   std::uint32_t slots_ = 1;
--- a/include/masticshunt/decisions/routing/upstream_watch.h
+++ b/include/masticshunt/decisions/routing/upstream_watch.h
@@ -43,6 +43,8 @@
   }
   /// Returns true if the upstream itself was heard by this process.
   [[nodiscard]] bool confirmed() const { return heard_; }
+  /// Returns when it was heard last.
+  [[nodiscard]] time_point last_heard() const { return last_word_; }
   /// Returns the last word, or nothing.
   [[nodiscard]] const std::optional<upstream_word>& last() const { return word_; }
   /// Returns since when it leaves, or nothing.
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -46,7 +46,8 @@
 }
 
 void claim_holder::upstream_is(std::optional<upstream_life> life, bool stays, std::uint32_t slots,
-                               time_point now) {
+                               time_point heard, time_point now) {
+  if (doubted_since_ && heard > *doubted_since_) doubted_since_.reset();
   if (life.has_value() != present_ || stays != stays_) report_now_ = true;
   present_ = life.has_value();
   stays_ = stays;
@@ -134,6 +135,7 @@
   const call_in_flight ended = found->second;
   calls_.erase(found);
   if (grants_in_flight_ > 0) --grants_in_flight_;
+  if (result == grant_result::unreachable || result == grant_result::cut_off) doubted_since_ = now;
   const time_point may_hold_until =
       ended.sent + timing_.margin + scaled(ended.hold, 1 + timing_.upstream_clock_error);
   for (piece& each : pieces_) {
@@ -145,10 +147,12 @@
         each.confirmed = true;
         break;
       case grant_result::no_answer:
+      case grant_result::cut_off:
         each.unanswered_until = std::max(each.unanswered_until, may_hold_until);
         each.next_grant = now + retry_after_failure;
         break;
       case grant_result::refused:
+      case grant_result::unreachable:
         each.next_grant = now + retry_after_failure;
         break;
       case grant_result::newer_fence:
@@ -282,7 +286,7 @@
 }
 
 void claim_holder::grant_due(time_point now, holder_actions& out) {
-  if (!present_ || !answered_) return;
+  if (!present_ || !answered_ || doubted_since_) return;
   const duration left =
       scaled(right_end() - now - 2 * timing_.margin, 1 / (1 + timing_.upstream_clock_error));
   const duration hold = std::min(restarting_ ? timing_.restart_right : timing_.hold, left);
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr duration housekeeping_interval = std::chrono::milliseconds{100};
-constexpr duration registration_batching = std::chrono::milliseconds{150};
+constexpr duration registration_batching = std::chrono::milliseconds{300};
 /// Callers stop sending to an agent that is not ready after this time.
 constexpr duration leave_after = std::chrono::milliseconds{2'600};
 /// The gate refuses new work from here on, so that its last requests end in time.
@@ -191,7 +191,7 @@
     const bool heard = upstream_.watch().confirmed() && upstream_.watch().present(now);
     const bool stays = !upstream_.watch().leaving_since();
     claims_.upstream_is(heard ? std::optional(word->life) : std::nullopt, word->service, stays,
-                        word->slots, now);
+                        word->slots, upstream_.watch().last_heard(), now);
   }
   for (const auto& [name, service] : known_.routes().state().services)
     if (service.keyed && known_.find_map(name) == nullptr) claims_.refresh_map(name);
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view hop_name = "Masticshunt-Hop";
 constexpr std::string_view load_name = "Masticshunt-Load";
 constexpr std::string_view refusal_name = "Masticshunt-Refused";
-constexpr std::string_view version_name = "Masticshunt-Versions";
+constexpr std::string_view version_name = "Masticshunt-State";
 constexpr std::string_view own_prefix = "Masticshunt-";
 constexpr std::string_view absent = "-";
 
@@ -169,9 +169,9 @@
   return out.str();
 }
 
-std::string version_line(std::uint64_t state_version, std::uint64_t map_revision) {
+std::string version_line(std::uint64_t state_version) {
   std::ostringstream out;
-  out << version_name << ": " << state_version << ' ' << map_revision << "\r\n";
+  out << version_name << ": " << state_version << "\r\n";
   return out.str();
 }
 
@@ -198,7 +198,7 @@
     statement.load = stated;
   }
   auto versions = words_of(from, version_name);
-  versions >> statement.state_version >> statement.map_revision;
+  versions >> statement.state_version;
   auto refusal_words = words_of(from, refusal_name);
   std::string result;
   std::string why;
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -100,13 +100,12 @@
 bool read_hop(const fields& from, time_point now, attempt& request);
 std::string load_line(const routing::load_statement& load);
 std::string refusal_line(const attempt_outcome& outcome);
-std::string version_line(std::uint64_t state_version, std::uint64_t map_revision);
+std::string version_line(std::uint64_t state_version);
 /// What a peer's answer states besides the upstream's own.
 struct peer_statement {
   std::optional<routing::load_statement> load;
   std::optional<attempt_outcome> refused;  ///< Set if the peer's gate refused or lost it.
   std::uint64_t state_version = 0;
-  std::uint64_t map_revision = 0;
 };
 peer_statement read_peer_statement(const fields& from);
 /// @}
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -120,7 +120,7 @@
 
 void claims_driver::upstream_is(const std::optional<routing::upstream_life>& life,
                                 const std::string& service, bool stays, std::uint32_t slots,
-                                time_point now) {
+                                time_point heard, time_point now) {
   const auto* known = known_.routes().find_service(service);
   if (known != nullptr && known->keyed && (!holder_ || holder_service_ != service)) {
     holder_service_ = service;
@@ -129,7 +129,7 @@
     gate_.set_holder(holder_.get());
     if (const auto* map = known_.find_map(service)) holder_->map_seen(*map, now);
   }
-  if (holder_) holder_->upstream_is(life, stays, slots, now);
+  if (holder_) holder_->upstream_is(life, stays, slots, heard, now);
 }
 
 void claims_driver::map_seen(const claims::claim_map& map, time_point now) {
@@ -265,11 +265,12 @@
 }
 
 asio::awaitable<exchange_end> claims_driver::call_upstream(platform::call what, duration timeout) {
-  exchange_request request{.head = what.method + ' ' + what.target + " HTTP/1.1\r\nHost: " +
-                                   gate_.upstream() + "\r\nContent-Type: application/json\r\n",
-                           .body = std::make_shared<body_pipe>(),
-                           .deadline = boot_now() + timeout,
-                           .send_before = boot_now() + timing_.send_limit};
+  exchange_request request{
+      .head = what.method + ' ' + what.target + " HTTP/1.1\r\nHost: " + gate_.upstream() +
+              "\r\nContent-Type: application/json\r\n" + platform::only_for_line(gate_.life_id()),
+      .body = std::make_shared<body_pipe>(),
+      .deadline = boot_now() + timeout,
+      .send_before = boot_now() + timing_.send_limit};
   request.body->append(what.body);
   request.body->finish();
   cancellation nobody;
@@ -283,7 +284,9 @@
                            what.handover),
       timing_.call_timeout);
   auto result = claims::grant_result::no_answer;
-  if (end.result == exchange_result::not_connected) result = claims::grant_result::refused;
+  if (end.result == exchange_result::not_connected) result = claims::grant_result::unreachable;
+  if (end.result == exchange_result::too_late) result = claims::grant_result::refused;
+  if (end.result == exchange_result::broken) result = claims::grant_result::cut_off;
   if (end.result == exchange_result::answered) {
     result = end.status == status_ok         ? claims::grant_result::granted
              : end.status == status_conflict ? claims::grant_result::newer_fence
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -36,7 +36,7 @@
   void fleet_changed(time_point now);
   /// The upstream beside this agent is there with `life`, or is not (nothing).
   void upstream_is(const std::optional<routing::upstream_life>& life, const std::string& service,
-                   bool stays, std::uint32_t slots, time_point now);
+                   bool stays, std::uint32_t slots, time_point heard, time_point now);
   /// A map arrived from the store or from a peer.
   void map_seen(const claims::claim_map& map, time_point now);
   /// An owner's report arrived. Returns the answer for it.
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -238,6 +238,7 @@
                           .detail = std::move(end.detail)};
   switch (end.result) {
     case exchange_result::not_connected:
+    case exchange_result::too_late:
       outcome.result = attempt_result::not_run;
       outcome.why = refusal::no_upstream;
       return outcome;
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -72,6 +72,8 @@
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
   /// Returns the connections to the upstream, for calls besides requests.
   [[nodiscard]] connection_pool& pool() { return pool_; }
+  /// Returns the id of the upstream's present life; empty if there is none.
+  [[nodiscard]] std::string life_id() const { return life_ ? life_->id : std::string{}; }
   [[nodiscard]] const endpoint& upstream() const { return settings_.upstream; }
   /// Returns how many connections in a row could not be opened.
   [[nodiscard]] std::uint32_t connect_failures() const { return connect_failures_; }
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -232,6 +232,7 @@
   }
   if (request.send_before && boot_now() > *request.send_before) {
     pool.release(std::move(connection));
+    end.result = exchange_result::too_late;
     end.detail = "too late to be sent";
     co_return end;
   }
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -90,7 +90,8 @@
 /// How an exchange ended.
 enum class exchange_result {
   answered,       ///< `head` and `body` hold the answer; the body may still be filling.
-  not_connected,  ///< Nothing was sent.
+  not_connected,  ///< Nothing was sent: there is no connection.
+  too_late,       ///< Nothing was sent: `send_before` had passed.
   broken,         ///< The connection ended after sending, before a whole answer.
   garbled,        ///< What came is no answer.
   timed_out,      ///< The deadline passed after sending.
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -52,8 +52,7 @@
   what->lines = lines_towards_upstream(request->head);
   what->left = &request->left;
   what->body = body_of(*request);
-  note_versions(request->sender + ":" + std::to_string(settings_.peer_port), what->service,
-                what->state_version, what->map_revision);
+  note_version(request->sender + ":" + std::to_string(settings_.peer_port), what->state_version);
   asio::co_spawn(executor_, serve(std::move(request), std::move(what)), asio::detached);
 }
 
@@ -65,7 +64,7 @@
     co_return;
   }
   std::string lines = load_line(gate_.load());
-  lines += version_line(known_.routes().version(), known_.map_revision(what->service));
+  lines += version_line(known_.routes().version());
   if (outcome.result == attempt_result::answered) {
     request->respond(
         {.status = outcome.status, .lines = lines + outcome.lines, .body = outcome.body});
@@ -126,14 +125,11 @@
   return nlohmann::json{{"state", known_.state_text()}, {"registrations", entries}}.dump();
 }
 
-void peer_side::note_versions(const endpoint& peer, const std::string& service,
-                              std::uint64_t state_version, std::uint64_t map_revision) {
+void peer_side::note_version(const endpoint& peer, std::uint64_t state_version) {
   if (state_version > known_.routes().version() && !fetching_) {
     fetching_ = true;
     asio::co_spawn(executor_, fetch_state(peer), asio::detached);
   }
-  static_cast<void>(service);
-  static_cast<void>(map_revision);
 }
 
 asio::awaitable<void> peer_side::fetch_state(endpoint peer) {
@@ -166,7 +162,6 @@
   const auto now = boot_now();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(what->deadline - now);
   if (left <= std::chrono::milliseconds{0}) co_return refused(refusal::overloaded);
-  const std::string service = what->service;
   known_.directory.sent(agent);
   exchange_request request;
   request.head =
@@ -180,6 +175,7 @@
   auto mark = attempt_mark::good;
   switch (end.result) {
     case exchange_result::not_connected:
+    case exchange_result::too_late:
       mark = attempt_mark::unreachable;
       break;
     case exchange_result::cancelled:
@@ -195,7 +191,7 @@
     case exchange_result::answered: {
       auto statement = read_peer_statement(end.head);
       outcome.load = statement.load;
-      note_versions(to, service, statement.state_version, statement.map_revision);
+      note_version(to, statement.state_version);
       if (statement.refused) {
         statement.refused->load = statement.load;
         outcome = std::move(*statement.refused);
--- a/src/fleet/internal/peer_side.h
+++ b/src/fleet/internal/peer_side.h
@@ -40,8 +40,7 @@
   boost::asio::awaitable<void> serve(std::shared_ptr<server_request> request,
                                      std::shared_ptr<attempt> what);
   boost::asio::awaitable<void> serve_call(std::shared_ptr<server_request> request);
-  void note_versions(const endpoint& peer, const std::string& service, std::uint64_t state_version,
-                     std::uint64_t map_revision);
+  void note_version(const endpoint& peer, std::uint64_t state_version);
   boost::asio::awaitable<void> fetch_state(endpoint peer);
   std::string state_document() const;
 
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr duration watch_length = std::chrono::seconds{15};
+constexpr duration watch_length = std::chrono::seconds{25};
 constexpr duration watch_slack = std::chrono::seconds{2};
 constexpr duration list_timeout = std::chrono::milliseconds{1'500};
 constexpr duration first_pause = std::chrono::milliseconds{100};
--- a/tests/decisions/claims/claim_holder_test.cpp
+++ b/tests/decisions/claims/claim_holder_test.cpp
@@ -28,7 +28,7 @@
     return found;
   }
   void register_as(std::uint64_t registration) {
-    subject.upstream_is(life, true, 12, now);
+    subject.upstream_is(life, true, 12, now, now);
     subject.tick(now);
     subject.lease_seen({.answered = true, .registration = registration, .revision = 5}, now, now);
   }
@@ -164,7 +164,7 @@
   it.subject.map_seen(it.map_naming(7, 1, 10), it.now);
   it.reply(it.timing.reply_right);
   it.subject.grant_ended(it.granted().call, grant_result::granted, it.now);
-  it.subject.upstream_is(upstream_life{"i-1", 2'000}, true, 12, it.now);
+  it.subject.upstream_is(upstream_life{"i-1", 2'000}, true, 12, it.now, it.now);
   expect_true(it.subject.state_of(42, it.now) != hold_state::held);
   it.now += it.timing.hold_renewal;
   expect_true(it.tick<grant_keys>().empty());
@@ -178,7 +178,7 @@
   it.reply(it.timing.reply_right);
   const auto grant = it.granted();
   it.subject.grant_ended(grant.call, grant_result::granted, it.now);
-  it.subject.upstream_is(std::nullopt, false, 12, it.now);
+  it.subject.upstream_is(std::nullopt, false, 12, it.now, it.now);
   expect_false(it.subject.empty(it.now + grant.hold));
   it.now += grant.hold + seconds{1};
   it.subject.leader_answered(std::nullopt, it.now, it.now);
@@ -258,6 +258,22 @@
   expect_equal(it.tick<grant_keys>().size(), 1U);
 }
 
+Test(claim_holder, grants_nothing_to_an_address_that_failed_until_its_upstream_is_heard) {
+  holder_fixture it;
+  it.register_as(7);
+  it.subject.map_seen(it.map_naming(7, 1, 10), it.now);
+  it.reply(it.timing.reply_right);
+  const auto heard = it.now;
+  // Another life may answer at the address from now on, and must not get this one's fence.
+  it.subject.grant_ended(it.granted().call, grant_result::unreachable, it.now);
+  it.now += seconds{1};
+  it.reply(it.timing.reply_right);
+  it.subject.upstream_is(life, true, 12, heard, it.now);
+  expect_true(it.tick<grant_keys>().empty());
+  it.subject.upstream_is(life, true, 12, it.now, it.now);
+  expect_equal(it.tick<grant_keys>().size(), 1U);
+}
+
 Test(claim_holder, an_older_map_changes_nothing) {
   holder_fixture it;
   it.register_as(7);
--- a/tests/fleet/attempt_test.cpp
+++ b/tests/fleet/attempt_test.cpp
@@ -76,7 +76,7 @@
 
 Test(hop, an_answer_without_a_refusal_is_the_upstreams) {
   const auto read =
-      read_peer_statement(fields_of(load_line({1, 2, 12, milliseconds{90}}) + version_line(5, 6)));
+      read_peer_statement(fields_of(load_line({1, 2, 12, milliseconds{90}}) + version_line(5)));
   expect_false(read.refused.has_value());
   expect_equal(read.load->waiting, 2U);
   expect_equal(read.state_version, 5U);
