Balance on while an owner is late to give keys back; tidy cold fragments

Change: moves under way count as moved and block no others; narrow cold ranges go back to a neighbour's owner and are joined; 200 ranges at most; a stretch that alone fills half of its owner goes to a clearly faster one.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -113,8 +113,9 @@
   struct demand {
     released_range what;
     std::string from;
-    std::string to;
+    std::string to;  ///< Empty: whoever has room.
     time_point since;
+    double slots = 0;  ///< The load that moves along, at the present owner.
   };
 
   void lead(time_point now, leader_actions& out);
@@ -130,6 +131,23 @@
   void merge_neighbours(claim_map& next, time_point now) const;
   void demand_drains(time_point now);
   void demand_balance(time_point now);
+  /// Gives narrow ranges that are cold by now to a neighbour's owner, so that they can be joined.
+  void demand_tidying(time_point now);
+  /// Moves a stretch that alone fills much of `from` to the fastest owner, if that serves it better.
+  bool demand_hottest(const std::string& from, std::map<std::string, double>& shares,
+                      time_point now);
+  /// Moves load from `from` to `to` so that they even out.
+  bool demand_densest(const std::string& from, const std::string& to,
+                      std::map<std::string, double>& shares, time_point now);
+  void demand_move(const key_load& stretch, const std::string& from, const std::string& to,
+                   std::map<std::string, double>& shares, time_point now);
+  void shift_load(std::map<std::string, double>& shares, const std::string& from,
+                  const std::string& to, double slots) const;
+  [[nodiscard]] std::size_t moves_under_way() const;
+  void note_shares(const std::map<std::string, double>& shares, time_point now);
+  [[nodiscard]] bool movable(const key_load& stretch, const std::string& from) const;
+  /// Returns how many times the service time of `from` that of `to` is; 1 if one is not known.
+  [[nodiscard]] double slower_by(const std::string& from, const std::string& to) const;
   [[nodiscard]] bool eligible(const std::string& agent, time_point now) const;
   [[nodiscard]] bool over(const claim& one) const;
   [[nodiscard]] std::map<std::string, double> loads(const std::vector<claim>& claims,
@@ -173,6 +191,7 @@
   std::vector<demand> demands_;
   std::map<std::uint64_t, time_point> fence_since_;
   time_point next_balance_{};
+  time_point next_tidying_{};
   time_point next_shares_note_{};
   std::vector<std::string> notes_;
 };
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -98,6 +98,7 @@
   if (now < next_write_) return;
   demand_drains(now);
   demand_balance(now);
+  demand_tidying(now);
   claim_map next = next_map(now);
   if (std::exchange(rejected_, false)) ++life_;
   next.leader_life = life_;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -11,14 +11,22 @@
 
 constexpr duration settle_time = std::chrono::milliseconds{1'200};
 constexpr duration balance_interval = std::chrono::milliseconds{350};
-constexpr double busy_from = 0.55;  // share of the slots from which load is moved away
-constexpr double gap_from = 0.22;   // difference of shares worth a move
-constexpr double overshoot = 1.25;  // a move may exceed the wanted load by this factor
+constexpr double busy_from = 0.55;           // share of the slots from which load is moved away
+constexpr double gap_from = 0.22;            // difference of shares worth a move
+constexpr double overshoot = 1.25;           // a move may exceed the wanted load by this factor
+constexpr double overloaded_from = 1.0;      // share from which an indivisible stretch may move
+constexpr double indivisible_from = 0.5;     // of its owner's slots: too large for evening out
+constexpr double faster_worth_a_move = 0.8;  // service time there, as a share of that here
 constexpr std::size_t moves_at_once = 12;
-constexpr std::size_t claims_max = 120;
+constexpr std::size_t claims_max = 200;
+constexpr std::size_t tidy_from = 40;  // claims from which cold fragments are given back
+constexpr std::size_t tidied_at_once = 4;
+constexpr double cold_below = 0.05;  // slots
+constexpr std::uint32_t fragment_keys_max = 1'024;
 constexpr std::size_t merge_from = 18;  // claims from which neighbours are merged
 constexpr duration shares_note_interval = std::chrono::seconds{1};
 constexpr duration merge_age = std::chrono::seconds{3};
+constexpr duration tidy_interval = std::chrono::milliseconds{700};
 // Load assumed of all keys together, in slots, while nothing has been observed.
 constexpr double assumed_load = 0.5;
 
@@ -153,57 +161,140 @@
   }
 }
 
+std::size_t leader::moves_under_way() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(demands_, [](const demand& each) { return !each.to.empty(); }));
+}
+
+void leader::note_shares(const std::map<std::string, double>& shares, time_point now) {
+  if (now < next_shares_note_) return;
+  next_shares_note_ = now + shares_note_interval;
+  std::string text = "load claims=" + std::to_string(map_.claims.size()) +
+                     " moving=" + std::to_string(demands_.size());
+  for (const auto& [agent, share] : shares) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        owners_.at(agent).report.service_time);
+    text += ' ' + agent + '=' + std::to_string(static_cast<int>(share * 100)) + "%/" +
+            std::to_string(ms.count()) + "ms";
+  }
+  notes_.push_back(std::move(text));
+}
+
+double leader::slower_by(const std::string& from, const std::string& to) const {
+  const duration here = owners_.at(from).report.service_time;
+  const duration there = owners_.at(to).report.service_time;
+  return here > duration{} && there > duration{}
+             ? std::chrono::duration<double>(there) / std::chrono::duration<double>(here)
+             : 1.0;
+}
+
+void leader::shift_load(std::map<std::string, double>& shares, const std::string& from,
+                        const std::string& to, double slots) const {
+  shares[from] -= slots / std::max(1U, owners_.at(from).report.slots);
+  shares[to] += slots * slower_by(from, to) / std::max(1U, owners_.at(to).report.slots);
+}
+
+bool leader::movable(const key_load& stretch, const std::string& from) const {
+  const claim* named = map_.find(stretch.keys.first);
+  return stretch.slots > 0 && named != nullptr && named->holder.agent == from &&
+         named->keys.contains(stretch.keys) &&
+         std::ranges::none_of(
+             demands_, [&](const demand& one) { return one.what.keys.overlaps(stretch.keys); });
+}
+
+void leader::demand_move(const key_load& stretch, const std::string& from, const std::string& to,
+                         std::map<std::string, double>& shares, time_point now) {
+  const double gap = shares[from] - shares[to];
+  demands_.push_back(
+      {{stretch.keys, map_.find(stretch.keys.first)->fence, {}}, from, to, now, stretch.slots});
+  notes_.push_back("move keys=" + std::to_string(stretch.keys.first) + "-" +
+                   std::to_string(stretch.keys.last) + " from=" + from + " to=" + to +
+                   " slots=" + std::to_string(stretch.slots) + " gap=" + std::to_string(gap));
+  shift_load(shares, from, to, stretch.slots);
+}
+
+bool leader::demand_hottest(const std::string& from, std::map<std::string, double>& shares,
+                            time_point now) {
+  const owner_report& here = owners_.at(from).report;
+  if (shares.at(from) < overloaded_from || here.loads.empty()) return false;
+  const key_load& hottest = *std::ranges::max_element(here.loads, {}, &key_load::slots);
+  if (hottest.slots < indivisible_from * here.slots || !movable(hottest, from)) return false;
+  const auto fastest = std::ranges::min_element(
+      shares, {}, [&](const auto& entry) { return slower_by(from, entry.first); });
+  // A stretch of the same kind at the fastest owner would only change places with this one.
+  const auto& loads_there = owners_.at(fastest->first).report.loads;
+  const bool occupied = std::ranges::any_of(loads_there, [&](const key_load& each) {
+    return each.slots >= indivisible_from * owners_.at(fastest->first).report.slots;
+  });
+  if (slower_by(from, fastest->first) > faster_worth_a_move || occupied) return false;
+  demand_move(hottest, from, fastest->first, shares, now);
+  return true;
+}
+
+bool leader::demand_densest(const std::string& from, const std::string& to,
+                            std::map<std::string, double>& shares, time_point now) {
+  const owner_report& here = owners_.at(from).report;
+  const double gap = shares.at(from) - shares.at(to);
+  const double wanted = gap * here.slots / (1 + slower_by(from, to));
+  // The densest stretch that fits moves: it carries the most load for the fewest keys.
+  const key_load* best = nullptr;
+  for (const key_load& each : here.loads) {
+    if (each.slots > overshoot * wanted || !movable(each, from)) continue;
+    if (best == nullptr || each.slots / each.keys.size() > best->slots / best->keys.size())
+      best = &each;
+  }
+  if (best == nullptr) return false;
+  demand_move(*best, from, to, shares, now);
+  return true;
+}
+
 void leader::demand_balance(time_point now) {
   if (now < next_balance_ || now - leader_since_ < settle_time) return;
   next_balance_ = now + balance_interval;
-  if (!demands_.empty() || map_.claims.size() > claims_max) return;
+  if (moves_under_way() >= moves_at_once || map_.claims.size() > claims_max) return;
   auto shares = loads(map_.claims, now);
   if (shares.size() < 2) return;
-  if (now >= next_shares_note_) {
-    next_shares_note_ = now + shares_note_interval;
-    std::string text = "load claims=" + std::to_string(map_.claims.size());
-    for (const auto& [agent, share] : shares) {
-      const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-          owners_.at(agent).report.service_time);
-      text += ' ' + agent + '=' + std::to_string(static_cast<int>(share * 100)) + "%/" +
-              std::to_string(ms.count()) + "ms";
-    }
-    notes_.push_back(std::move(text));
-  }
-  for (std::size_t moves = 0; moves < moves_at_once; ++moves) {
+  note_shares(shares, now);
+  // What is on its way counts as moved; an owner that answers late holds up nobody else.
+  for (const demand& each : demands_)
+    if (shares.contains(each.from) && shares.contains(each.to))
+      shift_load(shares, each.from, each.to, each.slots);
+  while (moves_under_way() < moves_at_once) {
     const auto [least, most] =
         std::ranges::minmax_element(shares, {}, [](const auto& entry) { return entry.second; });
-    const double gap = most->second - least->second;
-    if (most->second < busy_from || gap < gap_from) return;
-    const owner_report& from = owners_.at(most->first).report;
-    const owner_report& to = owners_.at(least->first).report;
-    const double slower = from.service_time > duration{} && to.service_time > duration{}
-                              ? std::chrono::duration<double>(to.service_time) /
-                                    std::chrono::duration<double>(from.service_time)
-                              : 1.0;
-    const double wanted = gap * from.slots / (1 + slower);
-    // The densest stretch that fits moves: it carries the most load for the fewest keys.
-    const key_load* best = nullptr;
-    for (const key_load& each : from.loads) {
-      if (each.slots > overshoot * wanted || each.slots <= 0) continue;
-      const bool taken = std::ranges::any_of(
-          demands_, [&](const demand& one) { return one.what.keys.overlaps(each.keys); });
-      const claim* named = map_.find(each.keys.first);
-      if (taken || named == nullptr || named->holder.agent != most->first ||
-          !named->keys.contains(each.keys))
-        continue;
-      if (best == nullptr || each.slots / each.keys.size() > best->slots / best->keys.size())
-        best = &each;
-    }
-    if (best == nullptr) return;
-    demands_.push_back(
-        {{best->keys, map_.find(best->keys.first)->fence, {}}, most->first, least->first, now});
-    notes_.push_back("move keys=" + std::to_string(best->keys.first) + "-" +
-                     std::to_string(best->keys.last) + " from=" + most->first +
-                     " to=" + least->first + " slots=" + std::to_string(best->slots) +
-                     " gap=" + std::to_string(gap));
-    most->second -= best->slots / std::max(1U, from.slots);
-    least->second += best->slots * slower / std::max(1U, to.slots);
+    if (most->second < busy_from || most->second - least->second < gap_from) return;
+    if (demand_hottest(most->first, shares, now)) continue;
+    if (!demand_densest(most->first, least->first, shares, now)) return;
+  }
+}
+
+void leader::demand_tidying(time_point now) {
+  if (now < next_tidying_ || map_.claims.size() < tidy_from) return;
+  next_tidying_ = now + tidy_interval;
+  const auto settled = [&](const claim& each) {
+    const auto since = fence_since_.find(each.fence);
+    return since != fence_since_.end() && now - since->second > merge_age &&
+           eligible(each.holder.agent, now);
+  };
+  std::size_t tidied = 0;
+  for (std::size_t i = 1; i + 1 < map_.claims.size() && tidied < tidied_at_once; ++i) {
+    const claim& one = map_.claims[i];
+    const claim& left = map_.claims[i - 1];
+    const claim& right = map_.claims[i + 1];
+    const claim& into = left.keys.size() > right.keys.size() ? left : right;
+    const bool fragment = one.keys.size() <= fragment_keys_max &&
+                          one.keys.size() < into.keys.size() &&
+                          one.holder.agent != into.holder.agent;
+    const bool cold = load_of(one.keys) < cold_below;
+    const bool moving = std::ranges::any_of(demands_, [&](const demand& each) {
+      return each.what.keys.overlaps(one.keys) || each.what.keys.overlaps(into.keys);
+    });
+    if (!fragment || !cold || moving || !settled(one) || !settled(into)) continue;
+    demands_.push_back({{one.keys, one.fence, {}}, one.holder.agent, into.holder.agent, now});
+    notes_.push_back("tidy keys=" + std::to_string(one.keys.first) + "-" +
+                     std::to_string(one.keys.last) + " from=" + one.holder.agent +
+                     " to=" + into.holder.agent);
+    ++tidied;
   }
 }
 
