Weigh bytes and a request's own weight in the choice of an upstream; fewer bytes for maps

Change: volume and the route's own weight in the directory's estimate, failures forgotten with a half-life of 2 s, shed counted as failure; slow owners count as fuller while load leaves room; maps without old hand-overs, to changed owners only, whole maps for entries only where single claims do not do; latency targets counted from a caller's first attempt. Tests: upstream_directory (3 new), route_profile (5).

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -133,11 +134,12 @@
   void demand_balance(time_point now);
   /// Gives narrow ranges that are cold by now to a neighbour's owner, so that they can be joined.
   void demand_tidying(time_point now);
-  /// Moves a stretch that alone fills much of `from` to the fastest owner, if that serves it better.
+  /// Moves a stretch that alone fills much of `from` to the fastest owner, if that serves it
+  /// better.
   bool demand_hottest(const std::string& from, std::map<std::string, double>& shares,
                       time_point now);
-  /// Moves load from `from` to `to` so that they even out.
-  bool demand_densest(const std::string& from, const std::string& to,
+  /// Moves load from `from` to `to` to even out a `gap` between them, in shares of the slots.
+  bool demand_densest(const std::string& from, const std::string& to, double gap,
                       std::map<std::string, double>& shares, time_point now);
   void demand_move(const key_load& stretch, const std::string& from, const std::string& to,
                    std::map<std::string, double>& shares, time_point now);
@@ -146,6 +148,9 @@
   [[nodiscard]] std::size_t moves_under_way() const;
   void note_shares(const std::map<std::string, double>& shares, time_point now);
   [[nodiscard]] bool movable(const key_load& stretch, const std::string& from) const;
+  /// Returns what counts against each owner because it is slow; nothing once load needs them all.
+  [[nodiscard]] std::map<std::string, double> slowness_weights(
+      const std::map<std::string, double>& shares) const;
   /// Returns how many times the service time of `from` that of `to` is; 1 if one is not known.
   [[nodiscard]] double slower_by(const std::string& from, const std::string& to) const;
   [[nodiscard]] bool eligible(const std::string& agent, time_point now) const;
@@ -153,7 +158,9 @@
   [[nodiscard]] std::map<std::string, double> loads(const std::vector<claim>& claims,
                                                     time_point now) const;
   [[nodiscard]] double load_of(const key_range& keys) const;
-  [[nodiscard]] std::vector<endpoint> owner_addresses(time_point now) const;
+  void note_changed_owners(const std::vector<claim>& from, const std::vector<claim>& to);
+  [[nodiscard]] std::vector<endpoint> addresses_of(const std::set<std::string>& agents,
+                                                   time_point now) const;
   void give(claim& one, const std::string& agent, claim_map& next) const;
   [[nodiscard]] std::optional<std::string> planned_for(const key_range& keys) const;
 
@@ -184,7 +191,7 @@
   bool in_doubt_ = false;
   std::optional<time_point> doubt_since_;  ///< The first write whose fate is not known.
   time_point next_write_{};
-  bool push_ = false;
+  std::set<std::string> push_to_;  ///< Owners whose keys changed since the last push.
 
   time_point last_tick_{};
   std::map<std::string, owner> owners_;
--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -49,13 +49,20 @@
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
   duration service_time{};  ///< Usual time of one request; zero if unknown.
+  duration ran_for{};       ///< Of the request that it answers; zero if that did not run.
+};
+
+/// What the choice of an upstream expects of a request.
+struct request_outline {
+  std::uint64_t bytes = 0;  ///< Of its body and its answer's.
+  double work_ratio = 1;    ///< Its service time over that of all requests of an upstream.
 };
 
 /// How an attempt at an upstream ended, for the choice of the next.
 enum class attempt_mark {
   good,
-  refused,     ///< It was refused before running, by the agent or by the upstream.
-  failed,      ///< The upstream failed it.
+  refused,     ///< The agent refused it before it was sent to the upstream.
+  failed,      ///< The upstream failed it, or refused it although its agent had a slot for it.
   unreachable  ///< The agent could not be reached or broke off.
 };
 
@@ -64,8 +71,11 @@
   duration same_zone{};
   duration other_zone = std::chrono::milliseconds{10};
   duration other_region = std::chrono::milliseconds{40};
+  duration kilobyte_to_other_zone = std::chrono::milliseconds{2};
+  duration kilobyte_to_other_region = std::chrono::milliseconds{5};
   duration assumed_service_time = std::chrono::milliseconds{60};
   duration failure_penalty = std::chrono::milliseconds{600};  ///< At a failure share of one.
+  duration failure_half_life = std::chrono::seconds{2};       ///< An upstream may have recovered.
   duration statement_half_life = std::chrono::milliseconds{400};
   duration first_set_aside = std::chrono::milliseconds{200};
   duration longest_set_aside = std::chrono::seconds{2};
@@ -75,10 +85,11 @@
 
 /// Knows all upstreams and chooses among those of a service without keys.
 ///
-/// The choice estimates for each upstream when an answer would be there: the way to it, and the
-/// queue that its agent stated, aged, plus what this agent sent since. Failures add to the
-/// estimate; an agent that can't be reached is set aside for a growing time.
-/// Thread safety: none.
+/// The choice estimates for each upstream when an answer would be there: the way to it, the queue
+/// that its agent stated, aged, plus what this agent sent since, and the request's own work. Bytes
+/// that cross zones or regions count as time, as links are narrow and billed by volume. Failures
+/// add to the estimate and are forgotten with time; an agent that can't be reached is set aside for
+/// a growing time. Thread safety: none.
 class upstream_directory {
  public:
   upstream_directory(std::string zone, std::string region, balance_settings settings = {});
@@ -101,7 +112,8 @@
   /// that can't be reached only if there is nobody else. `draw` in [0, 1) breaks near ties.
   [[nodiscard]] std::optional<std::string> choose(std::string_view service,
                                                   const std::vector<std::string>& tried,
-                                                  double draw, time_point now) const;
+                                                  double draw, time_point now,
+                                                  const request_outline& request = {}) const;
   /// Returns false while an agent is set aside because it could not be reached.
   [[nodiscard]] bool reachable(std::string_view agent, time_point now) const;
 
@@ -120,10 +132,13 @@
     load_statement load;
     time_point stated_at{};
     double failure_share = 0;
+    time_point failure_noted{};
     std::uint32_t unreachable_in_row = 0;
     time_point aside_until{};
   };
-  [[nodiscard]] double cost(const member& one, time_point now) const;
+  [[nodiscard]] double cost(const member& one, const request_outline& request,
+                            time_point now) const;
+  [[nodiscard]] double failure_share(const member& one, time_point now) const;
   member* known(std::string_view agent);
 
   std::string zone_;
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -14,6 +14,8 @@
 constexpr duration retry_interval = std::chrono::milliseconds{250};
 constexpr duration rejected_fresh = std::chrono::milliseconds{1'200};
 constexpr duration first_leader_after = std::chrono::milliseconds{1'500};
+/// The owner has long passed it on by then; maps travel often and should be small.
+constexpr duration handover_kept = std::chrono::seconds{4};
 constexpr duration demand_lifetime = std::chrono::seconds{6};
 
 }  // namespace
@@ -50,7 +52,7 @@
     holds_ ? lead(now, out) : seek_leadership(now, out);
   }
   if (holds_) suspect_owners(now, out);
-  if (std::exchange(push_, false)) out.emplace_back(push_map{owner_addresses(now)});
+  if (!push_to_.empty()) out.emplace_back(push_map{addresses_of(std::exchange(push_to_, {}), now)});
   for (auto& note : std::exchange(notes_, {})) out.emplace_back(leader_note{std::move(note)});
   return out;
 }
@@ -111,6 +113,10 @@
   next.beat = map_.beat + 1;
   next.writer = agent_;
   next.leader_life = life_;
+  for (claim& each : next.claims) {
+    const auto since = fence_since_.find(each.fence);
+    if (since != fence_since_.end() && now - since->second > handover_kept) each.handover.clear();
+  }
   pending_ = std::move(next);
   if (!doubt_since_) doubt_since_ = now;
   write_in_flight_ = true;
@@ -119,7 +125,11 @@
 
 void leader::adopt(const claim_map& map, time_point now) {
   if (map.revision <= map_.revision) return;
-  if (map.claims != map_.claims) push_ = holds_;
+  if (holds_) {
+    // The others lose and gain nothing; they hear of it with the next answer to their report.
+    note_changed_owners(map_.claims, map.claims);
+    note_changed_owners(map.claims, map_.claims);
+  }
   map_ = map;
   revision_since_ = now;
   for (const claim& each : map_.claims) fence_since_.try_emplace(each.fence, now);
@@ -128,6 +138,15 @@
   });
 }
 
+void leader::note_changed_owners(const std::vector<claim>& from, const std::vector<claim>& to) {
+  for (const claim& each : from) {
+    const bool kept = std::ranges::any_of(to, [&](const claim& other) {
+      return other.keys == each.keys && other.fence == each.fence && other.holder == each.holder;
+    });
+    if (!kept && !each.holder.agent.empty()) push_to_.insert(each.holder.agent);
+  }
+}
+
 void leader::map_seen(const claim_map& map, time_point now) {
   // In leadership this agent is the only writer; what others hold can't be newer.
   if (map.service == service_ && !holds_) adopt(map, now);
@@ -331,10 +350,12 @@
   notes_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\"");
 }
 
-std::vector<endpoint> leader::owner_addresses(time_point now) const {
+std::vector<endpoint> leader::addresses_of(const std::set<std::string>& agents,
+                                           time_point now) const {
   std::vector<endpoint> result;
   for (const auto& [agent, one] : owners_)
-    if (now - one.last_report < timing_.owner_silence && !one.report.address.empty())
+    if (agents.contains(agent) && now - one.last_report < timing_.owner_silence &&
+        !one.report.address.empty())
       result.push_back(one.report.address);
   return result;
 }
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -11,9 +11,14 @@
 
 constexpr duration settle_time = std::chrono::milliseconds{1'200};
 constexpr duration balance_interval = std::chrono::milliseconds{350};
-constexpr double busy_from = 0.55;           // share of the slots from which load is moved away
-constexpr double gap_from = 0.22;            // difference of shares worth a move
-constexpr double overshoot = 1.25;           // a move may exceed the wanted load by this factor
+constexpr double busy_from = 0.55;   // share of the slots from which load is moved away
+constexpr double gap_from = 0.22;    // difference of shares worth a move
+constexpr double idle_below = 0.05;  // share of a slow owner that is not worth a move
+constexpr double slowness_weight =
+    0.4;                                // share that an owner of twice the service time counts more
+constexpr double relaxed_below = 0.75;  // mean share from which speed does not count any more
+constexpr double smallest_move = 0.03;  // of the owner's slots
+constexpr double overshoot = 1.25;      // a move may exceed the wanted load by this factor
 constexpr double overloaded_from = 1.0;      // share from which an indivisible stretch may move
 constexpr double indivisible_from = 0.5;     // of its owner's slots: too large for evening out
 constexpr double faster_worth_a_move = 0.8;  // service time there, as a share of that here
@@ -231,15 +236,15 @@
   return true;
 }
 
-bool leader::demand_densest(const std::string& from, const std::string& to,
+bool leader::demand_densest(const std::string& from, const std::string& to, double gap,
                             std::map<std::string, double>& shares, time_point now) {
   const owner_report& here = owners_.at(from).report;
-  const double gap = shares.at(from) - shares.at(to);
   const double wanted = gap * here.slots / (1 + slower_by(from, to));
   // The densest stretch that fits moves: it carries the most load for the fewest keys.
   const key_load* best = nullptr;
   for (const key_load& each : here.loads) {
-    if (each.slots > overshoot * wanted || !movable(each, from)) continue;
+    const bool fits = each.slots <= overshoot * wanted && each.slots >= smallest_move * here.slots;
+    if (!fits || !movable(each, from)) continue;
     if (best == nullptr || each.slots / each.keys.size() > best->slots / best->keys.size())
       best = &each;
   }
@@ -259,15 +264,40 @@
   for (const demand& each : demands_)
     if (shares.contains(each.from) && shares.contains(each.to))
       shift_load(shares, each.from, each.to, each.slots);
+  const auto slowness = slowness_weights(shares);
   while (moves_under_way() < moves_at_once) {
+    std::map<std::string, double> pressures = shares;
+    for (auto& [agent, pressure] : pressures) pressure += slowness.at(agent);
     const auto [least, most] =
-        std::ranges::minmax_element(shares, {}, [](const auto& entry) { return entry.second; });
-    if (most->second < busy_from || most->second - least->second < gap_from) return;
+        std::ranges::minmax_element(pressures, {}, [](const auto& entry) { return entry.second; });
+    const double share = shares.at(most->first);
+    const bool worth_a_move =
+        share >= busy_from || (slowness.at(most->first) > 0 && share >= idle_below);
+    if (!worth_a_move || most->second - least->second < gap_from) return;
     if (demand_hottest(most->first, shares, now)) continue;
-    if (!demand_densest(most->first, least->first, shares, now)) return;
+    if (!demand_densest(most->first, least->first, most->second - least->second, shares, now))
+      return;
   }
 }
 
+std::map<std::string, double> leader::slowness_weights(
+    const std::map<std::string, double>& shares) const {
+  const double mean =
+      std::accumulate(shares.begin(), shares.end(), 0.0,
+                      [](double sum, const auto& entry) { return sum + entry.second; }) /
+      static_cast<double>(shares.size());
+  const double relaxed = std::clamp(1 - mean / relaxed_below, 0.0, 1.0);
+  const auto fastest = std::ranges::min_element(shares, {}, [&](const auto& entry) {
+    const duration took = owners_.at(entry.first).report.service_time;
+    return took > duration{} ? took : duration::max();
+  });
+  std::map<std::string, double> weights;
+  for (const auto& [agent, share] : shares)
+    weights[agent] =
+        slowness_weight * relaxed * std::clamp(slower_by(fastest->first, agent) - 1, 0.0, 1.0);
+  return weights;
+}
+
 void leader::demand_tidying(time_point now) {
   if (now < next_tidying_ || map_.claims.size() < tidy_from) return;
   next_tidying_ = now + tidy_interval;
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -82,31 +82,44 @@
   return result;
 }
 
-double upstream_directory::cost(const member& one, time_point now) const {
+double upstream_directory::failure_share(const member& one, time_point now) const {
+  return one.failure_share *
+         std::exp2(-seconds(now - one.failure_noted) / seconds(settings_.failure_half_life));
+}
+
+double upstream_directory::cost(const member& one, const request_outline& request,
+                                time_point now) const {
   const bool near = one.entry.zone == zone_;
   const duration way = near                          ? settings_.same_zone
                        : one.entry.region == region_ ? settings_.other_zone
                                                      : settings_.other_region;
+  const duration kilobyte = near                          ? duration{}
+                            : one.entry.region == region_ ? settings_.kilobyte_to_other_zone
+                                                          : settings_.kilobyte_to_other_region;
+  constexpr double kilobyte_bytes = 1024;
+  const double volume = seconds(kilobyte) * static_cast<double>(request.bytes) / kilobyte_bytes;
   const duration usual =
       one.load.service_time > duration{} ? one.load.service_time : settings_.assumed_service_time;
   const double age = seconds(now - one.stated_at) / seconds(settings_.statement_half_life);
   const double kept = std::exp2(-age);
   const double stated = kept * (one.load.running + one.load.waiting);
   const double queue = std::max<double>(stated + one.sent_since_statement, one.in_flight) + 1;
-  const double turns = std::max(1.0, queue / std::max(1U, one.entry.slots));
+  const double turns_before = std::max(0.0, queue / std::max(1U, one.entry.slots) - 1);
   const bool warming = now - one.known_since < settings_.warm_up;
-  return seconds(way) + seconds(usual) * turns * (warming ? settings_.warm_up_factor : 1) +
-         one.failure_share * seconds(settings_.failure_penalty);
+  const double work = seconds(usual) * (turns_before + request.work_ratio);
+  return seconds(way) + volume + work * (warming ? settings_.warm_up_factor : 1) +
+         failure_share(one, now) * seconds(settings_.failure_penalty);
 }
 
 std::optional<std::string> upstream_directory::choose(std::string_view service,
                                                       const std::vector<std::string>& tried,
-                                                      double draw, time_point now) const {
+                                                      double draw, time_point now,
+                                                      const request_outline& request) const {
   std::vector<std::pair<double, const member*>> candidates;
   for (const auto& [name, one] : members_) {
     if (one.entry.service != service || one.entry.stage != upstream_stage::ready) continue;
     if (one.entry.life.id.empty()) continue;
-    double total = cost(one, now);
+    double total = cost(one, request, now);
     if (now < one.aside_until) total += aside_penalty_s;
     if (std::ranges::find(tried, name) != tried.end()) total += tried_penalty_s;
     candidates.emplace_back(total, &one);
@@ -114,7 +127,7 @@
   if (candidates.empty()) return std::nullopt;
   std::ranges::sort(candidates, {}, &std::pair<double, const member*>::first);
   const member& cheapest = *candidates.front().second;
-  const double bound = candidates.front().first + tie_share * cost(cheapest, now);
+  const double bound = candidates.front().first + tie_share * cost(cheapest, request, now);
   const auto near = static_cast<std::size_t>(
       std::ranges::count_if(candidates, [&](const auto& each) { return each.first <= bound; }));
   return candidates[static_cast<std::size_t>(draw * static_cast<double>(near))].second->entry.agent;
@@ -150,8 +163,11 @@
     --one->sent_since_statement;
   }
   const bool bad = mark == attempt_mark::failed || mark == attempt_mark::unreachable;
-  const double sample = bad ? 1.0 : mark == attempt_mark::refused ? one->failure_share : 0.0;
-  one->failure_share += failure_share_step * (sample - one->failure_share);
+  if (mark != attempt_mark::refused) {
+    const double before = failure_share(*one, now);
+    one->failure_share = before + failure_share_step * ((bad ? 1.0 : 0.0) - before);
+    one->failure_noted = now;
+  }
   if (mark != attempt_mark::unreachable) {
     one->unreachable_in_row = 0;
     one->aside_until = {};
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -102,6 +102,26 @@
           .detail = std::move(detail)};
 }
 
+routing::attempt_mark mark_of(const attempt_outcome& outcome) {
+  using routing::attempt_mark;
+  constexpr unsigned first_server_error = 500;
+  switch (outcome.result) {
+    case attempt_result::answered:
+      return outcome.status >= first_server_error ? attempt_mark::failed : attempt_mark::good;
+    case attempt_result::may_have_run:
+      return attempt_mark::failed;
+    case attempt_result::unreachable:
+      return attempt_mark::unreachable;
+    case attempt_result::not_run:
+      return outcome.why == refusal::no_upstream ? attempt_mark::unreachable
+             : outcome.why == refusal::shed      ? attempt_mark::failed
+                                                 : attempt_mark::refused;
+    case attempt_result::cancelled:
+      break;
+  }
+  return attempt_mark::refused;
+}
+
 std::shared_ptr<body_pipe> body_of(const server_request& request) {
   namespace http = boost::beast::http;
   const bool announced = request.head.find(http::field::content_length) != request.head.end() ||
@@ -165,7 +185,8 @@
 std::string load_line(const routing::load_statement& load) {
   std::ostringstream out;
   out << load_name << ": " << load.running << ' ' << load.waiting << ' ' << load.slots << ' '
-      << std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count() << "\r\n";
+      << std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count() << ' '
+      << std::chrono::duration_cast<std::chrono::microseconds>(load.ran_for).count() << "\r\n";
   return out.str();
 }
 
@@ -193,8 +214,10 @@
   auto load = words_of(from, load_name);
   routing::load_statement stated;
   std::int64_t service_us = 0;
-  if (load >> stated.running >> stated.waiting >> stated.slots >> service_us) {
+  std::int64_t ran_us = 0;
+  if (load >> stated.running >> stated.waiting >> stated.slots >> service_us >> ran_us) {
     stated.service_time = std::chrono::microseconds{service_us};
+    stated.ran_for = std::chrono::microseconds{ran_us};
     statement.load = stated;
   }
   auto versions = words_of(from, version_name);
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -76,6 +76,7 @@
   std::string lines;  ///< Header lines of the answer.
   std::shared_ptr<body_pipe> body;
   std::optional<routing::load_statement> load;
+  duration ran_for{};  ///< From sending it to the upstream to the answer; zero if there is none.
   std::optional<owner_hint> owner;
   std::string detail;  ///< For the log.
 };
@@ -84,6 +85,9 @@
 attempt_outcome refused(refusal why, std::chrono::milliseconds retry_after = {},
                         std::string detail = {});
 
+/// Returns what an attempt that reached a gate says of its upstream.
+routing::attempt_mark mark_of(const attempt_outcome& outcome);
+
 /// Returns the body of `request`, or null if its head announces none.
 std::shared_ptr<body_pipe> body_of(const server_request& request);
 
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -128,6 +128,11 @@
   if (now.keyed) what.key = now.stamp.key;
   what.latency_target = route->target;
   what.target_time = request->arrived + route->target;
+  if (now.stamp.patience) {
+    auto& profile = profiles_[route->name];
+    profile.arrived(*now.stamp.patience);
+    what.target_time -= profile.waited_before(*now.stamp.patience);
+  }
   what.deadline = now.deadline;
   what.left = &request->left;
 
@@ -159,6 +164,9 @@
     }
     now.agent = *agent;
     auto outcome = co_await try_once(now, *agent);
+    if (outcome.result == attempt_result::answered && outcome.load)
+      profiles_[now.route].answered(outcome.ran_for, outcome.load->service_time,
+                                    outcome.body ? outcome.body->received() : 0);
     switch (judge(now, *agent, outcome)) {
       case next_step::answer:
         answer(now, std::move(outcome));
@@ -193,7 +201,9 @@
   const auto moment = boot_now();
   if (!now.keyed) {
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-    return known_.directory.choose(now.service, now.tried, draw, moment);
+    const auto bytes = now.what->body ? now.what->body->length().value_or(0) : 0;
+    return known_.directory.choose(now.service, now.tried, draw, moment,
+                                   profiles_[now.route].outline(bytes));
   }
   const auto owner = known_.owner_of(now.service, *now.stamp.key);
   if (!owner) {
@@ -230,16 +240,8 @@
   if (agent == settings_.name) {
     known_.directory.sent(agent);
     auto outcome = co_await gate_.serve(now.what);
-    const bool failed =
-        outcome.result == attempt_result::may_have_run ||
-        (outcome.result == attempt_result::answered && outcome.status >= first_server_error);
-    known_.directory.ended(
-        agent,
-        failed                                      ? routing::attempt_mark::failed
-        : outcome.why == refusal::no_upstream       ? routing::attempt_mark::unreachable
-        : outcome.result == attempt_result::not_run ? routing::attempt_mark::refused
-                                                    : routing::attempt_mark::good,
-        gate_.load(), boot_now());
+    outcome.load = gate_.load();
+    known_.directory.ended(agent, mark_of(outcome), gate_.load(), boot_now());
     co_return outcome;
   }
   const auto* peer = known_.directory.find(agent);
@@ -285,9 +287,9 @@
   if (!whole) return next_step::refuse;
   switch (outcome.why) {
     case refusal::not_owner:
-      if (outcome.owner)
-        known_.put_hint(now.service, outcome.owner->claim, outcome.owner->revision);
-      claims_.refresh_map(now.service);
+      if (!outcome.owner ||
+          !known_.put_hint(now.service, outcome.owner->claim, outcome.owner->revision))
+        claims_.refresh_map(now.service);
       return next_step::again;
     case refusal::owner_pending:
     case refusal::leaving:
--- a/src/fleet/internal/entry.h
+++ b/src/fleet/internal/entry.h
@@ -16,6 +16,7 @@
 #include "fleet/internal/knowledge.h"
 #include "fleet/internal/peer_side.h"
 #include "masticshunt/decisions/requests/repeat_budget.h"
+#include "masticshunt/decisions/routing/route_profile.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
 
@@ -61,6 +62,7 @@
   support::event_log& log_;
   support::metrics_registry& metrics_;
   requests::repeat_budget budget_;
+  std::map<std::string, routing::route_profile> profiles_;  ///< By route.
   std::mt19937_64 random_;
 };
 
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -124,6 +124,7 @@
   const auto now = boot_now();
   const bool ran = outcome.result == attempt_result::answered;
   if (ran) learn(now - began);
+  if (ran) outcome.ran_for = now - began;
   requests::admission_actions actions;
   queue_.finished(number, ran, now, actions);
   carry_out(actions);
--- a/src/fleet/internal/key_meter.cpp
+++ b/src/fleet/internal/key_meter.cpp
@@ -12,6 +12,14 @@
 constexpr duration decay_interval = std::chrono::milliseconds{100};
 constexpr double forgotten_below = 0.02;
 constexpr double stretches = 20;
+// Counts of less than this time say little of a rate.
+constexpr duration shortest_observation = std::chrono::milliseconds{150};
+
+/// Returns the share of the settled count that a steady rate has reached after `observed`.
+double settled_share(duration observed) {
+  return 1 - std::exp2(-std::chrono::duration<double>(std::max(observed, shortest_observation)) /
+                       std::chrono::duration<double>(half_life));
+}
 
 }  // namespace
 
@@ -28,6 +36,7 @@
 
 void key_meter::arrived(claims::shard_key key, time_point now) {
   decay(now);
+  if (counts_.empty()) counting_since_ = now;
   counts_[key] += 1;
 }
 
@@ -35,7 +44,8 @@
                                                duration service_time, time_point now) {
   decay(now);
   // A steady rate r settles at a decayed count of r * half_life / ln 2.
-  const double rate_of_count = std::log(2.0) / std::chrono::duration<double>(half_life).count();
+  const double rate_of_count = std::log(2.0) / std::chrono::duration<double>(half_life).count() /
+                               settled_share(now - counting_since_);
   const double slots_of_count = rate_of_count * std::chrono::duration<double>(service_time).count();
   const double total =
       std::accumulate(counts_.begin(), counts_.end(), 0.0,
--- a/src/fleet/internal/key_meter.h
+++ b/src/fleet/internal/key_meter.h
@@ -27,6 +27,7 @@
 
   std::map<claims::shard_key, double> counts_;
   time_point decayed_{};
+  time_point counting_since_{};  ///< When the first of the present counts came.
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/knowledge.cpp
+++ b/src/fleet/internal/knowledge.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t hints_max = 64;
+constexpr std::size_t hints_kept = 24;  // from which a whole map is the better choice
 
 }  // namespace
 
@@ -25,14 +26,15 @@
   return true;
 }
 
-void knowledge::put_hint(const std::string& service, const claims::claim& claim,
+bool knowledge::put_hint(const std::string& service, const claims::claim& claim,
                          std::uint64_t revision) {
   known_map& known = maps_[service];
-  if (revision <= known.map.revision || known.hints.size() >= hints_max) return;
+  if (revision <= known.map.revision || known.hints.size() >= hints_max) return false;
   std::erase_if(known.hints, [&](const auto& each) {
     return each.first.keys.overlaps(claim.keys) && each.first.fence < claim.fence;
   });
   known.hints.emplace_back(claim, revision);
+  return known.hints.size() < hints_kept;
 }
 
 const claims::claim_map* knowledge::find_map(const std::string& service) const {
--- a/src/fleet/internal/knowledge.h
+++ b/src/fleet/internal/knowledge.h
@@ -39,8 +39,9 @@
 
   /// Takes in a claim map if it is newer.
   bool put_map(const claims::claim_map& map);
-  /// Takes in one claim that a peer named; it counts over older maps.
-  void put_hint(const std::string& service, const claims::claim& claim, std::uint64_t revision);
+  /// Takes in one claim that a peer named; it counts over older maps. Returns false if a whole map
+  /// should be fetched: the claim is no news, or there are many such claims already.
+  bool put_hint(const std::string& service, const claims::claim& claim, std::uint64_t revision);
   [[nodiscard]] const claims::claim_map* find_map(const std::string& service) const;
   [[nodiscard]] std::optional<known_owner> owner_of(const std::string& service,
                                                     claims::shard_key key) const;
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -63,7 +63,9 @@
     request->respond({.abort = true});
     co_return;
   }
-  std::string lines = load_line(gate_.load());
+  auto load = gate_.load();
+  load.ran_for = outcome.ran_for;
+  std::string lines = load_line(load);
   lines += version_line(known_.routes().version());
   if (outcome.result == attempt_result::answered) {
     request->respond(
@@ -180,6 +182,7 @@
       break;
     case exchange_result::cancelled:
       outcome.result = attempt_result::cancelled;
+      mark = attempt_mark::refused;
       break;
     case exchange_result::broken:
     case exchange_result::garbled:
@@ -195,22 +198,20 @@
       if (statement.refused) {
         statement.refused->load = statement.load;
         outcome = std::move(*statement.refused);
-        mark = outcome.result == attempt_result::may_have_run ? attempt_mark::failed
-               : outcome.why == refusal::no_upstream          ? attempt_mark::unreachable
-                                                              : attempt_mark::refused;
+        mark = mark_of(outcome);
       } else if (!statement.load) {
         outcome.result = attempt_result::may_have_run;
         outcome.reached_upstream = true;
         outcome.detail = "the peer's answer lacks its statement";
         mark = attempt_mark::failed;
       } else {
-        constexpr unsigned first_server_error = 500;
         outcome.result = attempt_result::answered;
         outcome.reached_upstream = true;
+        outcome.ran_for = statement.load->ran_for;
         outcome.status = end.status;
         outcome.lines = lines_towards_caller(end.head);
         outcome.body = std::move(end.body);
-        if (end.status >= first_server_error) mark = attempt_mark::failed;
+        mark = mark_of(outcome);
       }
       break;
     }
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -276,7 +276,8 @@
       for (const auto& agent : agents) {
         auto report = it.report(agent);
         const shard_key hot = 100 + 200 * spot;
-        if (it.stored.find(hot)->holder.agent == agent) report.loads = {{{hot, hot + 5}, 4.0}, {{hot + 6, hot + 50}, 4.0}};
+        if (it.stored.find(hot)->holder.agent == agent)
+          report.loads = {{{hot, hot + 5}, 4.0}, {{hot + 6, hot + 50}, 4.0}};
         for (const auto& each : it.subject.report_received(report, it.now).to_release)
           report.released.push_back(each);
         it.subject.report_received(report, it.now);
--- /dev/null
+++ b/tests/decisions/routing/route_profile_test.cpp
@@ -0,0 +1,44 @@
+#include "masticshunt/decisions/routing/route_profile.h"
+
+#include "expect.h"
+
+using namespace masticshunt;
+using namespace masticshunt::routing;
+using namespace masticshunt::testing;
+using std::chrono::milliseconds;
+
+Test(route_profile, a_first_attempt_has_waited_for_nothing) {
+  route_profile profile;
+  for (const int patience : {1'200, 1'080, 1'150}) {
+    profile.arrived(milliseconds{patience});
+    expect_true(profile.waited_before(milliseconds{patience}) == duration{});
+  }
+}
+
+Test(route_profile, a_later_attempt_has_waited_for_what_its_patience_lacks) {
+  route_profile profile;
+  profile.arrived(milliseconds{1'000});
+  const auto waited = profile.waited_before(milliseconds{620});
+  expect_true(waited > milliseconds{250} && waited < milliseconds{380});
+}
+
+Test(route_profile, a_shorter_patience_becomes_the_usual_one) {
+  route_profile profile;
+  profile.arrived(milliseconds{2'000});
+  for (int i = 0; i < 3'000; ++i) profile.arrived(milliseconds{1'000});
+  expect_true(profile.waited_before(milliseconds{1'000}) == duration{});
+}
+
+Test(route_profile, learns_the_weight_and_the_answer_of_its_requests) {
+  route_profile profile;
+  for (int i = 0; i < 200; ++i) profile.answered(milliseconds{30}, milliseconds{60}, 4'000);
+  const auto outline = profile.outline(100);
+  expect_true(outline.work_ratio > 0.49 && outline.work_ratio < 0.51);
+  expect_true(outline.bytes > 4'000 && outline.bytes <= 4'100);
+}
+
+Test(route_profile, takes_requests_of_an_unknown_weight_for_ordinary_ones) {
+  route_profile profile;
+  profile.answered(duration{}, milliseconds{60}, 0);
+  expect_true(profile.outline(0).work_ratio == 1);
+}
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -78,6 +78,33 @@
   expect_equal(chosen(it), "mid");
 }
 
+Test(upstream_directory, failures_are_forgotten_with_time) {
+  auto it = directory();
+  for (int i = 0; i < 10; ++i) {
+    it.sent("near");
+    it.ended("near", attempt_mark::failed, std::nullopt, start);
+  }
+  expect_equal(chosen(it, {}, start + seconds{15}), "near");
+}
+
+Test(upstream_directory, a_large_request_stays_near_a_slow_upstream) {
+  auto it = directory();
+  it.sent("near");
+  it.ended("near", attempt_mark::good, load_statement{0, 0, 4, milliseconds{160}}, start);
+  const request_outline large{.bytes = 60 * 1024};
+  expect_equal(it.choose("ledger", {}, 0.5, start, large).value_or(""), "near");
+  expect_equal(chosen(it), "mid");
+}
+
+Test(upstream_directory, a_light_request_does_not_travel_to_save_a_heavy_one_s_time) {
+  auto it = directory();
+  it.sent("near");
+  it.ended("near", attempt_mark::good, load_statement{0, 0, 4, milliseconds{100}}, start);
+  const request_outline light{.work_ratio = 0.2};
+  expect_equal(it.choose("ledger", {}, 0.5, start, light).value_or(""), "near");
+  expect_equal(chosen(it), "mid");
+}
+
 Test(upstream_directory, refusals_are_no_failures) {
   auto it = directory();
   for (int i = 0; i < 10; ++i) {
