Allow for the noise of few requests before keys move

Change: the gap worth a move grows with the error of a load that few requests tell; ranges that carry little are joined as long as the owner that takes them has room.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -148,6 +148,8 @@
   [[nodiscard]] std::size_t moves_under_way() const;
   void note_shares(const std::map<std::string, double>& shares, time_point now);
   [[nodiscard]] bool movable(const key_load& stretch, const std::string& from) const;
+  /// Returns the usual error of a `share` that is known from a few requests only.
+  [[nodiscard]] double noise_of(const std::string& agent, double share) const;
   /// Returns what counts against each owner because it is slow; nothing once load needs them all.
   [[nodiscard]] std::map<std::string, double> slowness_weights(
       const std::map<std::string, double>& shares) const;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -17,7 +17,7 @@
 constexpr double slowness_weight =
     0.4;                                // share that an owner of twice the service time counts more
 constexpr double relaxed_below = 0.75;  // mean share from which speed does not count any more
-constexpr double smallest_move = 0.03;  // of the owner's slots
+constexpr double smallest_move = 0.05;  // of the owner's slots
 constexpr double overshoot = 1.25;      // a move may exceed the wanted load by this factor
 constexpr double overloaded_from = 1.0;      // share from which an indivisible stretch may move
 constexpr double indivisible_from = 0.5;     // of its owner's slots: too large for evening out
@@ -26,9 +26,11 @@
 constexpr std::size_t claims_max = 200;
 constexpr std::size_t tidy_from = 40;  // claims from which cold fragments are given back
 constexpr std::size_t tidied_at_once = 4;
-constexpr double cold_below = 0.05;  // slots
+constexpr double cold_below = 0.05;  // of the slots of the owner that takes it
 constexpr std::uint32_t fragment_keys_max = 1'024;
 constexpr std::size_t merge_from = 18;  // claims from which neighbours are merged
+/// The time that an owner's load is averaged over, about.
+constexpr duration observed_for = std::chrono::milliseconds{870};
 constexpr duration shares_note_interval = std::chrono::seconds{1};
 constexpr duration merge_age = std::chrono::seconds{3};
 constexpr duration tidy_interval = std::chrono::milliseconds{700};
@@ -273,13 +275,22 @@
     const double share = shares.at(most->first);
     const bool worth_a_move =
         share >= busy_from || (slowness.at(most->first) > 0 && share >= idle_below);
-    if (!worth_a_move || most->second - least->second < gap_from) return;
+    if (!worth_a_move || most->second - least->second < gap_from + noise_of(most->first, share))
+      return;
     if (demand_hottest(most->first, shares, now)) continue;
     if (!demand_densest(most->first, least->first, most->second - least->second, shares, now))
       return;
   }
 }
 
+double leader::noise_of(const std::string& agent, double share) const {
+  const owner_report& report = owners_.at(agent).report;
+  const double requests = share * std::max(1U, report.slots) *
+                          std::chrono::duration<double>(observed_for) /
+                          std::max<duration>(report.service_time, std::chrono::milliseconds{1});
+  return requests < 1 ? share : share / std::sqrt(requests);
+}
+
 std::map<std::string, double> leader::slowness_weights(
     const std::map<std::string, double>& shares) const {
   const double mean =
@@ -306,6 +317,11 @@
     return since != fence_since_.end() && now - since->second > merge_age &&
            eligible(each.holder.agent, now);
   };
+  const auto shares = loads(map_.claims, now);
+  const auto has_room = [&](const std::string& agent) {
+    const auto found = shares.find(agent);
+    return found != shares.end() && found->second < busy_from;
+  };
   std::size_t tidied = 0;
   for (std::size_t i = 1; i + 1 < map_.claims.size() && tidied < tidied_at_once; ++i) {
     const claim& one = map_.claims[i];
@@ -315,7 +331,8 @@
     const bool fragment = one.keys.size() <= fragment_keys_max &&
                           one.keys.size() < into.keys.size() &&
                           one.holder.agent != into.holder.agent;
-    const bool cold = load_of(one.keys) < cold_below;
+    const bool cold = has_room(into.holder.agent) &&
+                      load_of(one.keys) < cold_below * owners_.at(into.holder.agent).report.slots;
     const bool moving = std::ranges::any_of(demands_, [&](const demand& each) {
       return each.what.keys.overlaps(one.keys) || each.what.keys.overlaps(into.keys);
     });
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -266,6 +266,23 @@
   expect_equal(it.stored.find(owned.first)->holder.agent, "vm-3");
 }
 
+Test(leader, moves_nothing_for_a_gap_that_few_requests_may_have_made) {
+  for (const auto service_time : {milliseconds{20}, milliseconds{500}}) {
+    leader_fixture it;
+    it.run_with({"vm-1", "vm-2"}, seconds{6});
+    auto busy = it.report_with_load("vm-1", 7.2);
+    auto other = it.report_with_load("vm-2", 3.6);
+    busy.service_time = other.service_time = service_time;
+    bool moves = false;
+    for (int i = 0; i < 10; ++i, it.now += milliseconds{100}) {
+      it.subject.report_received(other, it.now);
+      moves |= !it.subject.report_received(busy, it.now).to_release.empty();
+      it.tick();
+    }
+    expect_equal(moves, service_time == milliseconds{20});
+  }
+}
+
 Test(leader, joins_ranges_again_that_were_cut_for_a_load_that_is_gone) {
   leader_fixture it;
   const std::vector<std::string> agents{"vm-1", "vm-2", "vm-3"};
