--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -16,6 +16,7 @@
 constexpr duration first_leader_after = std::chrono::milliseconds{1'500};
 /// The owner has long passed it on by then; maps travel often and should be small.
 constexpr duration handover_kept = std::chrono::seconds{4};
+constexpr duration join_interval = std::chrono::milliseconds{1'200};
 constexpr duration demand_lifetime = std::chrono::seconds{6};
 
 }  // namespace
@@ -104,6 +105,8 @@
   claim_map next = next_map(now);
   if (std::exchange(rejected_, false)) ++life_;
   next.leader_life = life_;
+  // Joining alone is no hurry; it goes along with other changes.
+  if (next.claims != map_.claims || now - last_write_ >= join_interval) merge_neighbours(next, now);
   const bool changed = next.claims != map_.claims || life_ != map_.leader_life;
   if (!changed && now - last_write_ < timing_.leader_beat) return;
   propose(std::move(next), now, out);
@@ -364,7 +367,6 @@
   claim_map next = map_;
   free_claims(next, now);
   assign_free(next, now);
-  merge_neighbours(next, now);
   return next;
 }
 
