Log gate decisions and each request's attempts; show the agents' figures; explain a request from logs

The entry's line now holds the trail of attempts, the rank and the repeats left; the gate writes one line for each request it refused, lost or failed (own upstream's requests too, which had none), with waits, load, versions and the right to hold. Gauges for store, claims, gate, broken promises and held-back lines. masticshunt explain ID FILE... tells the story, what the reason means, the beliefs of the agents concerned, and which lines are missing.

--- a/include/masticshunt/support/event_log.h
+++ b/include/masticshunt/support/event_log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <concepts>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,6 +12,31 @@
 
 namespace masticshunt::support {
 
+/// Builds the text of a line: the event's name, then "key=value" pairs.
+///
+///     log.line(line_class::process, event_text("store_lost").add("away", away).text(), now);
+class event_text {
+ public:
+  explicit event_text(std::string_view event) : text_(event) {}
+
+  /// Adds a word without blanks.
+  event_text& add(std::string_view name, std::string_view word);
+  /// Adds a whole number.
+  template <std::integral Number>
+  event_text& add(std::string_view name, Number number) {
+    return add(name, std::string_view(std::to_string(number)));
+  }
+  /// Adds a time in milliseconds; `name` should end in "_ms".
+  event_text& add(std::string_view name, duration span);
+  /// Adds a text between quotes; quotes and line ends in it are replaced.
+  event_text& quote(std::string_view name, std::string_view text);
+
+  [[nodiscard]] const std::string& text() const { return text_; }
+
+ private:
+  std::string text_;
+};
+
 /// How much a line matters when the budget is short.
 enum class line_class {
   process,  ///< Start, stop, reload, dependencies, beliefs.
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 
+#include "fleet/internal/agent_gauges.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -49,7 +50,8 @@
       known_(settings_),
       peer_pool_(context.get_executor(), {.idle_limit = peer_pool_idle}),
       store_(context.get_executor(), settings_.store, log_),
-      gate_(context.get_executor(), {.upstream = settings_.upstream, .drain = settings_.drain}),
+      gate_(context.get_executor(), {.upstream = settings_.upstream, .drain = settings_.drain},
+            log_, metrics_),
       claims_(context.get_executor(), settings_, known_, store_, gate_, peer_pool_, log_, life_),
       upstream_(context.get_executor(), settings_, known_, store_, gate_, log_),
       peers_(context.get_executor(), settings_, known_, gate_, claims_, peer_pool_, log_),
@@ -67,6 +69,7 @@
       housekeeping_timer_(context),
       claims_timer_(context),
       signals_(context, SIGTERM, SIGINT, SIGHUP) {
+  add_agent_gauges(metrics_, {known_, gate_, claims_, store_, log_});
   server_limits peer_limits;
   peer_limits.idle_timeout = peer_idle_timeout;
   peer_limits.header_bytes = 64 * 1024;
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -26,6 +26,7 @@
 constexpr duration owner_wait_max = milliseconds{400};
 constexpr int gates_tried_max = 4;
 constexpr int attempts_max = 16;
+constexpr std::size_t trail_bytes_max = 400;
 constexpr milliseconds come_back_soon{60};
 constexpr double come_back_share = 0.3;  // of the time left; callers heed no more than a third
 constexpr unsigned status_not_found = 404;
@@ -61,6 +62,7 @@
   milliseconds retry_after{0};
   std::string detail;
   std::string agent;
+  std::string trail;  ///< Each attempt's agent, result, reason and time, for the log.
   std::optional<attempt_outcome> fallback;  ///< The upstream's failure, kept while trying again.
 };
 
@@ -167,6 +169,7 @@
     if (outcome.result == attempt_result::answered && outcome.load)
       profiles_[now.route].answered(outcome.ran_for, outcome.load->service_time,
                                     outcome.body ? outcome.body->received() : 0);
+    note_attempt(now, outcome);
     switch (judge(now, *agent, outcome)) {
       case next_step::answer:
         answer(now, std::move(outcome));
@@ -197,6 +200,17 @@
   }
 }
 
+void entry::note_attempt(job& now, const attempt_outcome& outcome) {
+  if (now.trail.size() > trail_bytes_max) return;
+  const auto at =
+      std::chrono::duration_cast<milliseconds>(boot_now() - now.request->arrived).count();
+  now.trail.append(now.trail.empty() ? "" : ";").append(now.agent);
+  now.trail.append(":").append(to_string(outcome.result));
+  if (outcome.why != refusal::none) now.trail.append("/").append(to_string(outcome.why));
+  if (outcome.status != 0) now.trail.append("/").append(std::to_string(outcome.status));
+  now.trail.append("@").append(std::to_string(at));
+}
+
 std::optional<std::string> entry::choose(job& now) {
   const auto moment = boot_now();
   if (!now.keyed) {
@@ -351,21 +365,24 @@
   const bool served = status >= 200 && status < 400;
   const auto kind = served ? support::line_class::success : support::line_class::failure;
   if (!log_.admits(kind, moment)) return;
-  std::string line = "request id=" + now.stamp.id;
-  line.append(" route=").append(now.route).append(" service=").append(now.service);
-  if (now.stamp.key) line.append(" key=").append(std::to_string(*now.stamp.key));
-  line.append(" outcome=").append(outcome).append(" status=").append(std::to_string(status));
-  line.append(" why=\"").append(why).append("\" agent=").append(now.agent);
-  line.append(" attempts=").append(std::to_string(now.attempts + 1));
-  line.append(" reached=").append(std::to_string(now.reached));
-  line.append(" took_ms=")
-      .append(std::to_string(std::chrono::duration_cast<milliseconds>(took).count()));
-  line.append(" left_ms=")
-      .append(
-          std::to_string(std::chrono::duration_cast<milliseconds>(now.deadline - moment).count()));
-  line.append(" state=").append(std::to_string(known_.routes().version()));
-  line.append(" map=").append(std::to_string(known_.map_revision(now.service)));
-  log_.write_admitted(line);
+  support::event_text line("request");
+  line.add("id", now.stamp.id).add("route", now.route).add("service", now.service);
+  if (now.stamp.key) line.add("key", *now.stamp.key);
+  line.add("outcome", outcome)
+      .add("status", status)
+      .quote("why", why)
+      .add("agent", now.agent)
+      .add("attempts", now.attempts + 1)
+      .add("reached", now.reached)
+      .quote("trail", now.trail)
+      .add("rank", now.what ? now.what->rank : 0)
+      .add("repeats_left",
+           static_cast<int>(budget_.left(now.service, known_.directory.all().size(), moment)))
+      .add("took_ms", took)
+      .add("left_ms", now.deadline - moment)
+      .add("state", known_.routes().version())
+      .add("map", known_.map_revision(now.service));
+  log_.write_admitted(line.text());
 }
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/entry.h
+++ b/src/fleet/internal/entry.h
@@ -46,6 +46,7 @@
   boost::asio::awaitable<attempt_outcome> try_once(job& now, const std::string& agent);
   boost::asio::awaitable<bool> await_owner(job& now);
   [[nodiscard]] std::optional<std::string> choose(job& now);
+  static void note_attempt(job& now, const attempt_outcome& outcome);
   next_step judge(job& now, const std::string& agent, const attempt_outcome& outcome);
   [[nodiscard]] bool may_repeat(job& now);
   void answer(job& now, attempt_outcome outcome);
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -21,6 +21,7 @@
 constexpr duration idle_limit_unstated = std::chrono::seconds{4};
 constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
 constexpr unsigned first_failure_status = 300;
+constexpr unsigned first_server_error = 500;
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_wrong_place = 421;
 constexpr unsigned status_too_many = 429;
@@ -43,9 +44,12 @@
 
 }  // namespace
 
-gate_service::gate_service(const asio::any_io_executor& executor, gate_settings settings)
+gate_service::gate_service(const asio::any_io_executor& executor, gate_settings settings,
+                           support::event_log& log, support::metrics_registry& metrics)
     : executor_(executor),
       settings_(std::move(settings)),
+      log_(log),
+      metrics_(metrics),
       pool_(executor, {.idle_limit = idle_limit_unstated}),
       queue_(requests::admission_settings{}) {}
 
@@ -99,6 +103,58 @@
 }
 
 asio::awaitable<attempt_outcome> gate_service::serve(std::shared_ptr<attempt> what) {
+  const auto arrived = boot_now();
+  std::optional<time_point> began;
+  auto outcome = co_await admit_and_send(what, began);
+  record(*what, outcome, arrived, began);
+  co_return outcome;
+}
+
+void gate_service::record(const attempt& what, const attempt_outcome& outcome, time_point arrived,
+                          std::optional<time_point> began) {
+  const auto now = boot_now();
+  metrics_
+      .make_counter({"masticshunt_gate_requests_total",
+                     "Requests at the gate by result and reason",
+                     {{"result", std::string(to_string(outcome.result))},
+                      {"why", std::string(to_string(outcome.why))}}})
+      .add();
+  metrics_.make_latency({"masticshunt_gate_wait_seconds", "Time before a request is sent on", {}})
+      .record(began.value_or(now) - arrived);
+  if (began)
+    metrics_.make_latency({"masticshunt_upstream_seconds", "Time that the upstream takes", {}})
+        .record(now - *began);
+  const bool served =
+      outcome.result == attempt_result::answered && outcome.status < first_server_error;
+  const auto kind = served ? support::line_class::success : support::line_class::failure;
+  if (!log_.admits(kind, now)) return;
+  support::event_text line("gate");
+  line.add("id", what.id).add("service", what.service);
+  if (what.key) line.add("key", *what.key);
+  line.add("result", to_string(outcome.result))
+      .add("why", to_string(outcome.why))
+      .add("status", outcome.status)
+      .add("reached", outcome.reached_upstream ? "yes" : "no")
+      .add("upstream", life_ ? life_->id : "none")
+      .add("waited_ms", began.value_or(now) - arrived)
+      .add("ran_ms", began ? now - *began : duration{})
+      .add("left_ms", what.deadline - now)
+      .add("target_left_ms", what.target_time - now)
+      .add("rank", what.rank)
+      .add("running", queue_.running())
+      .add("waiting", queue_.waiting())
+      .add("slots", slots_)
+      .add("usual_ms", service_time_);
+  if (what.key && holder_ != nullptr)
+    line.add("map", holder_->map().revision)
+        .add("entry_map", what.map_revision)
+        .add("right_ms", holder_->right_end() - now);
+  line.quote("detail", outcome.detail);
+  log_.write_admitted(line.text());
+}
+
+asio::awaitable<attempt_outcome> gate_service::admit_and_send(std::shared_ptr<attempt> what,
+                                                              std::optional<time_point>& began) {
   ++counts_.offered;
   auto closed = closed_for(*what, boot_now());
   if (!closed && what->key && holder_ != nullptr) {
@@ -117,14 +173,16 @@
     ++counts_.refused;
     co_return std::move(*refusal);
   }
-  const auto began = boot_now();
+  began = boot_now();
   if (what->repeat) ++repeats_running_;
   auto outcome = co_await send(what);
   if (what->repeat) --repeats_running_;
   const auto now = boot_now();
   const bool ran = outcome.result == attempt_result::answered;
-  if (ran) learn(now - began);
-  if (ran) outcome.ran_for = now - began;
+  if (ran) {
+    outcome.ran_for = now - *began;
+    learn(outcome.ran_for);
+  }
   requests::admission_actions actions;
   queue_.finished(number, ran, now, actions);
   carry_out(actions);
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -15,6 +15,8 @@
 #include "fleet/internal/key_meter.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/requests/admission_queue.h"
+#include "masticshunt/support/event_log.h"
+#include "masticshunt/support/metrics.h"
 
 namespace masticshunt::fleet {
 
@@ -40,7 +42,8 @@
 /// Life cycle: one for the process. Thread safety: none.
 class gate_service {
  public:
-  gate_service(const boost::asio::any_io_executor& executor, gate_settings settings);
+  gate_service(const boost::asio::any_io_executor& executor, gate_settings settings,
+               support::event_log& log, support::metrics_registry& metrics);
 
   /// Has `what` run by the upstream, or refuses it.
   boost::asio::awaitable<attempt_outcome> serve(std::shared_ptr<attempt> what);
@@ -70,6 +73,10 @@
   [[nodiscard]] duration service_time() const { return service_time_; }
   [[nodiscard]] std::size_t in_flight() const { return queue_.running() + queue_.waiting(); }
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
+  /// Returns how many requests were started after their deadline: none, or a promise is broken.
+  [[nodiscard]] std::uint64_t started_late() const { return queue_.counts().started_late; }
+  /// Returns how many connections to the upstream were opened.
+  [[nodiscard]] std::uint64_t opened() const { return pool_.opened(); }
   /// Returns the connections to the upstream, for calls besides requests.
   [[nodiscard]] connection_pool& pool() { return pool_; }
   /// Returns the id of the upstream's present life; empty if there is none.
@@ -89,6 +96,8 @@
     bool left = false;
   };
 
+  boost::asio::awaitable<attempt_outcome> admit_and_send(std::shared_ptr<attempt> what,
+                                                         std::optional<time_point>& began);
   boost::asio::awaitable<std::optional<attempt_outcome>> await_key(std::shared_ptr<attempt> what);
   boost::asio::awaitable<std::optional<attempt_outcome>> await_turn(std::shared_ptr<attempt> what,
                                                                     requests::admission_id number);
@@ -98,9 +107,13 @@
                                                           time_point now) const;
   void carry_out(const requests::admission_actions& actions);
   void learn(duration took);
+  void record(const attempt& what, const attempt_outcome& outcome, time_point arrived,
+              std::optional<time_point> began);
 
   boost::asio::any_io_executor executor_;
   gate_settings settings_;
+  support::event_log& log_;
+  support::metrics_registry& metrics_;
   connection_pool pool_;
   requests::admission_queue queue_;
   std::uint32_t slots_ = 1;
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -72,16 +72,6 @@
         {.status = outcome.status, .lines = lines + outcome.lines, .body = outcome.body});
     co_return;
   }
-  const auto now = boot_now();
-  if (log_.admits(support::line_class::failure, now)) {
-    log_.write_admitted("gate_refused id=" + what->id + " service=" + what->service +
-                        " result=" + std::string(to_string(outcome.result)) +
-                        " why=" + std::string(to_string(outcome.why)) +
-                        " reached=" + (outcome.reached_upstream ? "yes" : "no") +
-                        " running=" + std::to_string(gate_.load().running) +
-                        " waiting=" + std::to_string(gate_.load().waiting) + " detail=\"" +
-                        outcome.detail + "\"");
-  }
   request->respond({.status = status_unavailable, .lines = lines + refusal_line(outcome)});
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <iterator>
 #include <optional>
 
@@ -14,6 +15,7 @@
 #include "masticshunt/demo/run.h"
 #include "masticshunt/fleet/run.h"
 #include "masticshunt/operator/command.h"
+#include "masticshunt/operator/explain.h"
 #include "masticshunt/platform/store_stand_in.h"
 #include "masticshunt/support/log.h"
 #include "masticshunt/upstream/stand_in.h"
@@ -111,6 +113,24 @@
   return masticshunt::bench::run(options);
 }
 
+int run_explain(const arguments& with) {
+  std::vector<masticshunt::operators::log_line> lines;
+  for (const auto& path : with.at("FILE").asStringList()) {
+    std::ifstream file(path);
+    if (!file) {
+      std::fprintf(stderr, "masticshunt: cannot read %s; name logs of agents\n", path.c_str());
+      return exit_usage;
+    }
+    for (std::string text; std::getline(file, text);)
+      if (auto line = masticshunt::operators::parse_log_line(text))
+        lines.push_back(std::move(*line));
+  }
+  const auto story =
+      masticshunt::operators::explain_request(text_argument(with, "ID").value_or(""), lines);
+  std::fputs(story.text.c_str(), stdout);
+  return story.found ? exit_ok : masticshunt::operators::exit_not_found;
+}
+
 int run_upstream_stand_in(const arguments& with) {
   masticshunt::upstream::stand_in_settings settings;
   settings.service = text_argument(with, "--service").value_or(settings.service);
@@ -166,6 +186,11 @@
             "  --slots=N        Requests it runs at once, 1 to 100000 [default: 12].\n"
             "  --incarnation=N  Changes when it restarts without its state [default: 1].\n",
             &run_upstream_stand_in},
+    command{
+        "explain", "Tells a request's story from the logs of several agents",
+        "  masticshunt explain ID FILE...\n\nThe FILEs are what agents wrote to standard output; "
+        "agents of both ends\nof the request should be among them.\n",
+        &run_explain},
     command{"version", "Prints the version and build", "  masticshunt version\n", &run_version},
 };
 
--- /dev/null
+++ b/src/operator/explain.cpp
@@ -0,0 +1,197 @@
+#include "masticshunt/operator/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <set>
+
+namespace masticshunt::operators {
+
+namespace {
+
+constexpr double beliefs_before_s = 4;  // how far back changes of belief may matter
+constexpr std::size_t beliefs_max = 12;
+
+/// What a reason in a line means, and where to look next.
+struct meaning_of_reason {
+  std::string_view reason;
+  std::string_view meaning;
+};
+constexpr std::array meanings{
+    meaning_of_reason{"overloaded",
+                      "the gate could not start it in time: compare running with slots, and "
+                      "waiting; see the leader's \"load\" lines for keyed services"},
+    meaning_of_reason{"shed",
+                      "the upstream refused it although its gate had a slot for it: the upstream "
+                      "is at fault, or full with work of an earlier process of its agent"},
+    meaning_of_reason{"owner_pending",
+                      "nobody could run its key at that moment: look for released, assigned, "
+                      "\"owner silent\" and \"owner ended\" lines with its key"},
+    meaning_of_reason{"not_owner", "the entry's claim map was older than the move of its key"},
+    meaning_of_reason{"leaving", "the upstream or its agent was about to stop"},
+    meaning_of_reason{"no_upstream",
+                      "no connection to the agent or its upstream: lost, restarting or cut off"},
+    meaning_of_reason{"no route leads here", "the desired state in force has no route for it"},
+};
+
+void append(std::string& to, std::initializer_list<std::string_view> parts) {
+  for (const auto part : parts) to.append(part);
+}
+
+std::string offset_text(const log_line& line, double from) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%+9.3f s  ", line.time - from);
+  return text.data();
+}
+
+std::string_view word_before(std::string_view text, char separator) {
+  return text.substr(0, text.find(separator));
+}
+
+/// Returns the agents that the entry's trail names.
+std::vector<std::string> agents_tried(const log_line& entry) {
+  std::vector<std::string> result;
+  std::string_view trail = entry.value("trail");
+  while (!trail.empty()) {
+    const auto end = std::min(trail.find(';'), trail.size());
+    result.emplace_back(word_before(trail.substr(0, end), ':'));
+    trail.remove_prefix(std::min(end + 1, trail.size()));
+  }
+  return result;
+}
+
+std::string conclusion(const log_line& entry) {
+  const auto outcome = entry.value("outcome");
+  const auto why = entry.value("why");
+  std::string text;
+  if (outcome == "answered") {
+    append(text, {"An upstream answered it with ", entry.value("status"), "."});
+    if (entry.value("status") >= "500")
+      text +=
+          " The failure is the upstream's own; a call that it made may have failed: look for "
+          "refused calls of its VM at that time.";
+  } else if (outcome == "refused") {
+    append(text, {"It was refused and has not run: ", why, "."});
+  } else if (outcome == "failed") {
+    append(text, {"It may have run: it reached ", entry.value("reached"),
+                  " upstream(s) and no whole answer came (", why, ")."});
+  } else if (outcome == "caller_left") {
+    text += "Its caller left before there was an answer.";
+  } else {
+    append(text, {"It ended as ", outcome, ": ", why, "."});
+  }
+  const auto known = std::ranges::find(meanings, why, &meaning_of_reason::reason);
+  if (known != meanings.end()) append(text, {"\n  That means: ", known->meaning, "."});
+  return text + "\n";
+}
+
+std::string beliefs_of(const std::set<std::string>& agents, const std::vector<log_line>& lines,
+                       double until) {
+  std::vector<const log_line*> found;
+  for (const log_line& each : lines) {
+    const bool request_line = !each.value("id").empty();
+    const bool concerned = agents.contains(each.agent) || each.event == "leader";
+    if (!request_line && concerned && each.time <= until && each.time >= until - beliefs_before_s)
+      found.push_back(&each);
+  }
+  std::ranges::stable_sort(found, {}, &log_line::time);
+  if (found.size() > beliefs_max)
+    found.erase(found.begin(), found.end() - static_cast<std::ptrdiff_t>(beliefs_max));
+  std::string text;
+  for (const log_line* each : found)
+    append(text, {offset_text(*each, until), each->agent, "  ", each->text, "\n"});
+  return text;
+}
+
+std::string gaps_of(const log_line* entry, const std::vector<const log_line*>& story,
+                    const std::vector<log_line>& lines) {
+  std::string text;
+  const auto logged = [&](std::string_view agent) {
+    return std::ranges::any_of(lines, [&](const log_line& each) { return each.agent == agent; });
+  };
+  if (entry == nullptr)
+    return "  No line of the entry: the log of the caller's VM is missing, or the line was held "
+           "back; see log_held_back.\n";
+  for (const auto& agent : agents_tried(*entry)) {
+    const bool told = std::ranges::any_of(
+        story, [&](const log_line* each) { return each->event == "gate" && each->agent == agent; });
+    if (told) continue;
+    append(text, {"  No gate line of ", agent, ": ",
+                  logged(agent) ? "it was never reached, or the line was held back."
+                                : "its log is not among the files."});
+    text += "\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string_view log_line::value(std::string_view name) const {
+  const auto found = values.find(name);
+  return found == values.end() ? std::string_view{} : std::string_view(found->second);
+}
+
+std::optional<log_line> parse_log_line(std::string_view text) {
+  const auto begin = text.find("time=");
+  if (begin == std::string_view::npos) return std::nullopt;
+  text.remove_prefix(begin);
+  if (const auto event = text.find(" event="); event != std::string_view::npos) {
+    log_line line{.text = std::string(text.substr(event + std::string_view(" event=").size()))};
+    line.event = word_before(line.text, ' ');
+    while (!text.empty()) {
+      const auto equals = text.find('=');
+      if (equals == std::string_view::npos) break;
+      const auto blank = text.substr(0, equals).rfind(' ');
+      const auto name = text.substr(blank == std::string_view::npos ? 0 : blank + 1,
+                                    equals - (blank == std::string_view::npos ? 0 : blank + 1));
+      text.remove_prefix(equals + 1);
+      const bool quoted = text.starts_with('"');
+      if (quoted) text.remove_prefix(1);
+      const auto end = std::min(text.find(quoted ? '"' : ' '), text.size());
+      line.values.emplace(name, text.substr(0, end));
+      text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    const auto time = line.value("time");
+    const auto [rest, error] = std::from_chars(time.data(), time.data() + time.size(), line.time);
+    if (error != std::errc{}) return std::nullopt;
+    line.agent = line.value("agent");
+    // Many events name another agent too; the first one is the writer.
+    return line;
+  }
+  return std::nullopt;
+}
+
+explanation explain_request(std::string_view id, const std::vector<log_line>& lines) {
+  std::vector<const log_line*> story;
+  for (const log_line& each : lines)
+    if (each.value("id") == id) story.push_back(&each);
+  explanation result{.found = !story.empty()};
+  if (!result.found) {
+    append(result.text, {"No line names ", id,
+                         ". It never reached an entry whose log is here, or its lines were held "
+                         "back; see log_held_back.\n"});
+    return result;
+  }
+  std::ranges::stable_sort(story, {}, &log_line::time);
+  const auto entry_place = std::ranges::find(story, "request", &log_line::event);
+  const log_line* entry = entry_place == story.end() ? nullptr : *entry_place;
+  const double end = entry != nullptr ? entry->time : story.back()->time;
+  std::set<std::string> agents;
+  append(result.text, {"Request ", id, ", times from its end:\n"});
+  for (const log_line* each : story) {
+    agents.insert(each->agent);
+    append(result.text, {offset_text(*each, end), each->agent, "  ", each->text, "\n"});
+  }
+  if (entry != nullptr) {
+    result.text += conclusion(*entry);
+    for (auto& agent : agents_tried(*entry)) agents.insert(std::move(agent));
+  }
+  if (const auto beliefs = beliefs_of(agents, lines, end); !beliefs.empty())
+    append(result.text, {"What its agents and the leaders noted shortly before:\n", beliefs});
+  if (const auto gaps = gaps_of(entry, story, lines); !gaps.empty())
+    append(result.text, {"Missing:\n", gaps});
+  return result;
+}
+
+}  // namespace masticshunt::operators
--- a/src/support/event_log.cpp
+++ b/src/support/event_log.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <iterator>
 #include <numeric>
 
 namespace masticshunt::support {
@@ -25,6 +26,24 @@
 
 }  // namespace
 
+event_text& event_text::add(std::string_view name, std::string_view word) {
+  text_.append(" ").append(name).append("=").append(word);
+  return *this;
+}
+
+event_text& event_text::add(std::string_view name, duration span) {
+  return add(name, std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+event_text& event_text::quote(std::string_view name, std::string_view text) {
+  text_.append(" ").append(name).append("=\"");
+  std::ranges::transform(text, std::back_inserter(text_), [](char each) {
+    return each == '"' || each == '\n' || each == '\r' ? '\'' : each;
+  });
+  text_.append("\"");
+  return *this;
+}
+
 event_log::event_log(int descriptor, std::string process, event_log_budget budget)
     : descriptor_(descriptor), process_(std::move(process)), budget_(budget) {
   const int flags = ::fcntl(descriptor_, F_GETFL);
