--- a/include/masticshunt/fleet/settings.h
+++ b/include/masticshunt/fleet/settings.h
@@ -33,6 +33,8 @@
 
   endpoint store;
 
+  double link_megabits = 1'000;  ///< A second, of this VM's link, each way.
+
   std::chrono::milliseconds drain{2'000};
   std::chrono::milliseconds grace{6'000};
   std::chrono::milliseconds hold_max{10'000};
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -25,6 +25,7 @@
 /// The gate refuses new work from here on, so that its last requests end in time.
 constexpr duration gate_closes_after = std::chrono::milliseconds{2'000};
 constexpr duration margin_before_grace = std::chrono::milliseconds{400};
+constexpr double bytes_of_megabit = 125'000;
 constexpr duration peer_idle_timeout = std::chrono::seconds{30};
 constexpr duration peer_pool_idle = std::chrono::seconds{20};
 constexpr unsigned status_not_ready = 503;
@@ -50,7 +51,10 @@
       known_(settings_),
       peer_pool_(context.get_executor(), {.idle_limit = peer_pool_idle}),
       store_(context.get_executor(), settings_.store, log_),
-      gate_(context.get_executor(), {.upstream = settings_.upstream, .drain = settings_.drain},
+      gate_(context.get_executor(),
+            {.upstream = settings_.upstream,
+             .drain = settings_.drain,
+             .link_bytes_per_second = settings_.link_megabits * bytes_of_megabit},
             log_, metrics_),
       claims_(context.get_executor(), settings_, known_, store_, gate_, peer_pool_, log_, life_),
       upstream_(context.get_executor(), settings_, known_, store_, gate_, log_),
@@ -73,6 +77,7 @@
   server_limits peer_limits;
   peer_limits.idle_timeout = peer_idle_timeout;
   peer_limits.header_bytes = 64 * 1024;
+  peer_limits.handler_asks_for_bodies = true;
   peer_limits.body_bytes = std::uint64_t{1} << 32U;
   peer_server_.set_limits(peer_limits);
   peers_.on_state([this](const std::string& text) { put_state(text, "peer"); });
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,8 +22,9 @@
   std::string id;
   std::string method;
   std::string target;
-  std::string lines;                ///< The caller's header lines that are passed on.
-  std::shared_ptr<body_pipe> body;  ///< Null: no body.
+  std::string lines;                   ///< The caller's header lines that are passed on.
+  std::shared_ptr<body_pipe> body;     ///< Null: no body.
+  std::function<void()> ask_for_body;  ///< Set while the sender holds a large body back.
   std::string service;
   std::string caller_service;  ///< Of the VM where the request began.
   std::uint32_t rank = 0;
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -17,6 +17,9 @@
 constexpr duration key_wait_step = std::chrono::milliseconds{15};
 constexpr double key_wait_share = 0.25;  // of the time left
 constexpr duration answer_grace = std::chrono::milliseconds{40};
+/// Taken for the length of a body that states none.
+constexpr std::uint64_t body_length_unstated = 64 * 1024;
+constexpr std::chrono::milliseconds body_retry_after{300};
 constexpr double service_time_step = 0.05;
 constexpr duration idle_limit_unstated = std::chrono::seconds{4};
 constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
@@ -51,6 +54,7 @@
       log_(log),
       metrics_(metrics),
       pool_(executor, {.idle_limit = idle_limit_unstated}),
+      transfers_({.bytes_per_second = settings_.link_bytes_per_second}),
       queue_(requests::admission_settings{}) {}
 
 void gate_service::upstream_is(std::optional<routing::upstream_life> life,
@@ -169,6 +173,10 @@
     co_return std::move(*closed);
   }
   const auto number = next_number_++;
+  if (auto refusal = co_await await_body(what, number)) {
+    ++counts_.refused;
+    co_return std::move(*refusal);
+  }
   if (auto refusal = co_await await_turn(what, number)) {
     ++counts_.refused;
     co_return std::move(*refusal);
@@ -219,6 +227,62 @@
   }
 }
 
+asio::awaitable<std::optional<attempt_outcome>> gate_service::await_body(
+    std::shared_ptr<attempt> what, requests::transfer_id number) {
+  if (!what->ask_for_body) co_return std::nullopt;
+  const auto waits = std::make_shared<waiter>(executor_);
+  transfer_waiters_[number] = waits;
+  requests::transfer_actions actions;
+  transfers_.offer({.id = number,
+                    .bytes = what->body->length().value_or(body_length_unstated),
+                    .deadline = what->deadline},
+                   boot_now(), actions);
+  carry_out(actions);
+  what->left->on_request([waits] {
+    waits->left = true;
+    waits->changed.cancel();
+  });
+  boost::system::error_code ignored;
+  waits->changed.expires_after(what->deadline - boot_now());
+  if (!waits->started && !waits->refused)
+    co_await waits->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  std::optional<attempt_outcome> end;
+  if (waits->refused) end = refused(refusal::overloaded, body_retry_after, "the link is full");
+  if (waits->started && !waits->left) {
+    what->ask_for_body();
+    what->body->on_change([waits, body = what->body.get()] {
+      if (body->ready()) waits->changed.cancel();
+    });
+    waits->changed.expires_after(what->deadline - boot_now());
+    if (!what->body->ready())
+      co_await waits->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    what->body->on_change(nullptr);
+  }
+  what->left->clear();
+  transfer_waiters_.erase(number);
+  transfers_.abandoned(number);
+  requests::transfer_actions freed;
+  transfers_.finished(number, freed);
+  carry_out(freed);
+  if (end) co_return end;
+  if (waits->left || what->left->requested() || what->body->failed())
+    co_return attempt_outcome{.result = attempt_result::cancelled};
+  if (!what->body->ready()) co_return refused(refusal::overloaded, {}, "the body came too late");
+  co_return std::nullopt;
+}
+
+void gate_service::carry_out(const requests::transfer_actions& actions) {
+  for (const auto& each : actions) {
+    const auto found = transfer_waiters_.find(each.id);
+    if (found == transfer_waiters_.end()) continue;
+    if (each.what == requests::transfer_action::kind::start)
+      found->second->started = true;
+    else
+      found->second->refused = duration{};
+    found->second->changed.cancel();
+  }
+}
+
 asio::awaitable<std::optional<attempt_outcome>> gate_service::await_turn(
     std::shared_ptr<attempt> what, requests::admission_id number) {
   const auto waits = std::make_shared<waiter>(executor_);
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -15,6 +15,7 @@
 #include "fleet/internal/key_meter.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/requests/admission_queue.h"
+#include "masticshunt/decisions/requests/transfer_queue.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
 
@@ -24,6 +25,7 @@
 struct gate_settings {
   endpoint upstream;
   duration drain = std::chrono::seconds{2};  ///< After the word that it leaves.
+  double link_bytes_per_second = 125e6;      ///< Of this VM, each way.
 };
 
 /// Counts of a gate.
@@ -99,6 +101,9 @@
   boost::asio::awaitable<attempt_outcome> admit_and_send(std::shared_ptr<attempt> what,
                                                          std::optional<time_point>& began);
   boost::asio::awaitable<std::optional<attempt_outcome>> await_key(std::shared_ptr<attempt> what);
+  boost::asio::awaitable<std::optional<attempt_outcome>> await_body(std::shared_ptr<attempt> what,
+                                                                    requests::transfer_id number);
+  void carry_out(const requests::transfer_actions& actions);
   boost::asio::awaitable<std::optional<attempt_outcome>> await_turn(std::shared_ptr<attempt> what,
                                                                     requests::admission_id number);
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> what);
@@ -115,6 +120,8 @@
   support::event_log& log_;
   support::metrics_registry& metrics_;
   connection_pool pool_;
+  requests::transfer_queue transfers_;
+  std::map<requests::transfer_id, std::shared_ptr<waiter>> transfer_waiters_;
   requests::admission_queue queue_;
   std::uint32_t slots_ = 1;
   std::map<requests::admission_id, std::shared_ptr<waiter>> waiters_;
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -81,6 +81,29 @@
   return "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+/// What the other side said to a head whose body it is to ask for.
+enum class body_wish { wanted, answered_without, none };
+
+/// Waits until the other side asks for the body, or answers without it.
+asio::awaitable<body_wish> await_body_wish(client_connection& connection, time_point until) {
+  constexpr std::string_view asks = "HTTP/1.1 100";
+  constexpr std::string_view end = "\r\n\r\n";
+  watchdog dog(connection, until);
+  for (;;) {
+    const auto held = connection.buffer.data();
+    const std::string_view bytes(static_cast<const char*>(held.data()), held.size());
+    if (bytes.size() >= asks.size()) {
+      if (!bytes.starts_with(asks)) co_return body_wish::answered_without;
+      if (const auto place = bytes.find(end); place != std::string_view::npos) {
+        connection.buffer.consume(place + end.size());
+        co_return body_wish::wanted;
+      }
+    }
+    error_code error;
+    if (!co_await fill(connection, error)) co_return body_wish::none;
+  }
+}
+
 /// Sends what remains of a body. The connection is closed if that fails.
 asio::awaitable<void> send_body(connection_ptr connection, std::shared_ptr<body_pipe> body,
                                 std::shared_ptr<bool> sent) {
@@ -252,10 +275,12 @@
     connection->socket.close(ignored);
   };
 
-  std::string bytes = std::move(request.head) + framing_lines(request.body);
+  std::string bytes = std::move(request.head);
+  if (request.body_asked_before) bytes += "Expect: 100-continue\r\n";
+  bytes += framing_lines(request.body);
   const auto sent = std::make_shared<bool>(true);
-  const bool body_follows =
-      request.body && !(request.body->whole() && request.body->held().size() <= small_body);
+  bool body_follows = request.body && (request.body_asked_before || !request.body->whole() ||
+                                       request.body->held().size() > small_body);
   if (request.body && !body_follows) bytes += request.body->held();
   error_code error;
   std::size_t written = connection->socket.write_some(asio::buffer(bytes), error);
@@ -271,6 +296,16 @@
     failed(exchange_result::broken, "send: " + error.message());
     co_return end;
   }
+  if (request.body_asked_before) {
+    const auto wish = co_await await_body_wish(*connection, *request.body_asked_before);
+    if (wish == body_wish::none) {
+      failed(exchange_result::too_late, "the body was not asked for in time");
+      end.result = left.requested() ? exchange_result::cancelled : exchange_result::too_late;
+      co_return end;
+    }
+    body_follows = wish == body_wish::wanted;
+    *sent = body_follows;
+  }
   if (body_follows) {
     *sent = false;
     asio::co_spawn(connection->socket.get_executor(), send_body(connection, request.body, sent),
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -82,6 +82,8 @@
   std::string (*id_of)(const answer_head&) = nullptr;
   /// How long the other side keeps the connection open idle, if it states that.
   std::optional<duration> (*idle_limit_of)(const answer_head&) = nullptr;
+  /// If set: the other side is to ask for the body until then, or nothing of it is sent.
+  std::optional<time_point> body_asked_before;
   time_point deadline;  ///< For the whole answer, or its first part if it is large.
   /// If set: what could not be sent by then is not sent at all.
   std::optional<time_point> send_before;
@@ -91,7 +93,8 @@
 enum class exchange_result {
   answered,       ///< `head` and `body` hold the answer; the body may still be filling.
   not_connected,  ///< Nothing was sent: there is no connection.
-  too_late,       ///< Nothing was sent: `send_before` had passed.
+  too_late,       ///< Nothing that could run was sent: `send_before` had passed, or the body was
+                  ///< not asked for.
   broken,         ///< The connection ended after sending, before a whole answer.
   garbled,        ///< What came is no answer.
   timed_out,      ///< The deadline passed after sending.
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -179,8 +179,10 @@
     if (!request->keep_alive_) read_closed_ = true;
     body_in_progress_ = !parser.is_done();
     if (continues && pending_.empty() && body_in_progress_) {
-      out_ += "HTTP/1.1 100 Continue\r\n\r\n";
-      flush();
+      request->on_ask_ = [self = weak_from_this()] {
+        if (const auto alive = self.lock()) alive->ask_for_body();
+      };
+      if (!server_->limits().handler_asks_for_bodies) request->ask_for_body();
     }
     pending_.push_back(request);
     ++server_->open_requests_;
@@ -188,6 +190,11 @@
     return request;
   }
 
+  void ask_for_body() {
+    out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+    flush();
+  }
+
   bool refuse(const error_code& error, const std::shared_ptr<server_request>& request) {
     read_closed_ = true;
     if (request) {
@@ -253,7 +260,8 @@
         out_ += "Transfer-Encoding: chunked\r\n";
       }
     }
-    if (answer.close || server_->closing()) front.keep_alive_ = false;
+    // A body that was never asked for does not come, or comes all the same: nobody can tell.
+    if (answer.close || server_->closing() || front.holds_body_back()) front.keep_alive_ = false;
     if (!front.keep_alive_) {
       out_ += "Connection: close\r\n";
     } else if (front.http_1_0_) {
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "fleet/internal/body_pipe.h"
 #include "fleet/internal/cancellation.h"
@@ -48,6 +49,12 @@
     answer_ = std::move(with);
     if (on_answer_) on_answer_();
   }
+  /// Asks for the body if its sender waits for that; where bodies are asked for by the handler.
+  void ask_for_body() {
+    if (auto ask = std::exchange(on_ask_, nullptr)) ask();
+  }
+  /// Returns true while the sender holds the body back until it is asked for.
+  [[nodiscard]] bool holds_body_back() const { return on_ask_ != nullptr; }
   /// Returns true once it was answered.
   [[nodiscard]] bool answered() const { return answered_; }
 
@@ -61,6 +68,7 @@
   bool begun_ = false;
   bool chunked_ = false;
   std::function<void()> on_answer_;
+  std::function<void()> on_ask_;
 };
 
 using request_handler = std::function<void(std::shared_ptr<server_request>)>;
@@ -72,6 +80,7 @@
   duration header_timeout = std::chrono::seconds{3};
   duration idle_timeout = std::chrono::seconds{15};
   std::size_t pipelined_max = 32;
+  bool handler_asks_for_bodies = false;  ///< Else every body is asked for at once.
   duration user_timeout = std::chrono::seconds{4};
 };
 
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr duration answer_grace = std::chrono::milliseconds{60};
+/// Bodies from this size on travel only when the gate asks for them.
+constexpr std::uint64_t large_body = 16 * 1024;
+constexpr double body_wait_share = 0.4;  // of the time left, for the gate to ask
 constexpr duration fetch_timeout = std::chrono::seconds{1};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
@@ -52,6 +55,10 @@
   what->lines = lines_towards_upstream(request->head);
   what->left = &request->left;
   what->body = body_of(*request);
+  if (request->holds_body_back())
+    what->ask_for_body = [weak = std::weak_ptr(request)] {
+      if (const auto alive = weak.lock()) alive->ask_for_body();
+    };
   note_version(request->sender + ":" + std::to_string(settings_.peer_port), what->state_version);
   asio::co_spawn(executor_, serve(std::move(request), std::move(what)), asio::detached);
 }
@@ -161,6 +168,9 @@
   request.body = what->body;
   request.is_head = what->method == "HEAD";
   request.deadline = what->deadline + answer_grace;
+  if (what->body && what->body->length().value_or(large_body) >= large_body)
+    request.body_asked_before =
+        now + std::chrono::duration_cast<duration>((what->deadline - now) * body_wait_share);
   auto end = co_await run_exchange(peers_, to, std::move(request), *what->left);
   attempt_outcome outcome{.detail = std::move(end.detail)};
   using routing::attempt_mark;
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -41,6 +41,7 @@
     entry{"upstream", "service", &fleet_settings::service, presence::optional},
     entry{"upstream", "heartbeat", &fleet_settings::heartbeat, presence::optional},
     entry{"store", "address", &fleet_settings::store, presence::required, true},
+    entry{"link", "bandwidth", &fleet_settings::link_megabits, presence::optional},
     entry{"bounds", "drain", &fleet_settings::drain, presence::optional},
     entry{"bounds", "grace", &fleet_settings::grace, presence::optional},
     entry{"bounds", "hold_max", &fleet_settings::hold_max, presence::optional},
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -183,6 +183,48 @@
   return left;
 }
 
+/// What came of an exchange with a large body and a server whose handler asks for bodies.
+struct body_exchange {
+  exchange_end end;
+  std::uint64_t received = 0;  ///< Bytes of the body that the server got.
+};
+
+/// Sends a body of `bytes` that the server's `handler` has to ask for within `patience_of_body`.
+body_exchange exchange_with_body(std::size_t bytes, duration patience_of_body,
+                                 const request_handler& handler) {
+  asio::io_context context;
+  std::shared_ptr<server_request> seen;
+  http_server server(context.get_executor(), [&](std::shared_ptr<server_request> request) {
+    seen = request;
+    handler(std::move(request));
+  });
+  server_limits limits;
+  limits.handler_asks_for_bodies = true;
+  server.set_limits(limits);
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  probe.close();
+  expect_equal(server.start(address), "");
+  connection_pool pool(context.get_executor(), {});
+  body_exchange result;
+  const auto run = [&]() -> asio::awaitable<void> {
+    cancellation nobody;
+    exchange_request request;
+    request.head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    request.body = std::make_shared<body_pipe>();
+    request.body->append(std::string(bytes, 'x'));
+    request.body->finish();
+    request.body_asked_before = boot_now() + patience_of_body;
+    request.deadline = boot_now() + patience;
+    result.end = co_await run_exchange(pool, address, std::move(request), nobody);
+    context.stop();
+  };
+  asio::co_spawn(context, run(), asio::detached);
+  context.run();
+  if (seen) result.received = seen->body->received();
+  return result;
+}
+
 }  // namespace
 
 Test(exchange, returns_a_whole_answer) {
@@ -242,6 +284,34 @@
   expect_true(exchange_with_nobody().result == exchange_result::not_connected);
 }
 
+Test(exchange, a_large_body_travels_once_it_is_asked_for) {
+  constexpr std::size_t bytes = 200'000;
+  const auto it = exchange_with_body(bytes, patience, [](const auto& request) {
+    expect_true(request->holds_body_back());
+    request->body->on_change([request] {
+      if (request->body->complete()) request->respond({.text = "got it"});
+    });
+    request->ask_for_body();
+  });
+  expect_true(it.end.result == exchange_result::answered);
+  expect_equal(it.end.body->held(), "got it");
+  expect_equal(it.received, bytes);
+}
+
+Test(exchange, a_refusal_saves_the_body_that_was_not_asked_for) {
+  const auto it = exchange_with_body(
+      200'000, patience, [](const auto& request) { request->respond({.status = 503}); });
+  expect_true(it.end.result == exchange_result::answered);
+  expect_equal(it.end.status, 503U);
+  expect_equal(it.received, 0U);
+}
+
+Test(exchange, a_body_that_nobody_asks_for_in_time_is_not_sent) {
+  const auto it = exchange_with_body(200'000, std::chrono::milliseconds{100}, [](const auto&) {});
+  expect_true(it.end.result == exchange_result::too_late);
+  expect_equal(it.received, 0U);
+}
+
 Test(server, answers_pipelined_requests_in_their_order) {
   std::vector<std::shared_ptr<server_request>> held;
   const auto received = conversation(
