Greet peers with the state's version: agents that restart in an outage learn what they need

Change: every agent tells one random peer each second, four each second while the store is out of its reach, which version is in force; whoever is behind fetches state, registrations and now claim maps too.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -227,6 +227,7 @@
   store_.sweep(now);
   gate_.tick(now);
   upstream_.tick(now);
+  peers_.tick(now, store_.reached());
   for (const auto& [name, service] : known_.routes().state().services)
     if (service.keyed && known_.find_map(name) == nullptr) claims_.refresh_map(name);
   schedule_claims();
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -93,6 +93,7 @@
 inline constexpr std::string_view report_path = "/masticshunt/report";
 inline constexpr std::string_view map_path = "/masticshunt/map/";
 inline constexpr std::string_view state_path = "/masticshunt/state";
+inline constexpr std::string_view greeting_path = "/masticshunt/greeting/";
 /// @}
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds shortest_attempt{5};
 constexpr duration owner_poll = milliseconds{25};
 constexpr double owner_wait_share = 0.25;  // of the time that the request has
-constexpr duration owner_wait_max = milliseconds{400};
+constexpr duration owner_wait_max = milliseconds{300};
 constexpr int gates_tried_max = 4;
 constexpr int attempts_max = 16;
 constexpr std::size_t trail_bytes_max = 400;
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr duration key_wait_max = std::chrono::milliseconds{250};
+constexpr duration key_wait_max = std::chrono::milliseconds{150};
 constexpr duration key_wait_step = std::chrono::milliseconds{15};
 constexpr double key_wait_share = 0.25;  // of the time left
 constexpr duration answer_grace = std::chrono::milliseconds{40};
--- a/src/fleet/internal/peer_side.cpp
+++ b/src/fleet/internal/peer_side.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "masticshunt/support/clock.h"
+#include "masticshunt/support/units.h"
 #include "platform/headers.h"
 
 namespace masticshunt::fleet {
@@ -20,6 +21,9 @@
 /// Bodies from this size on travel only when the gate asks for them.
 constexpr std::uint64_t large_body = 16 * 1024;
 constexpr double body_wait_share = 0.4;  // of the time left, for the gate to ask
+
+constexpr duration greeting_interval = std::chrono::seconds{1};
+constexpr duration greeting_interval_in_outage = std::chrono::milliseconds{250};
 constexpr duration fetch_timeout = std::chrono::seconds{1};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
@@ -41,7 +45,8 @@
       gate_(gate),
       claims_(claims),
       peers_(peers),
-      log_(log) {}
+      log_(log),
+      random_(std::hash<std::string>{}(settings.name)) {}
 
 void peer_side::handle(std::shared_ptr<server_request> request) {
   auto what = std::make_shared<attempt>();
@@ -99,6 +104,11 @@
       co_return;
     }
     request->respond({.text = claims::to_cbor_bytes(claims_.report_received(*report, boot_now()))});
+  } else if (target.starts_with(greeting_path)) {
+    const auto version = support::count_from(std::string_view(target).substr(greeting_path.size()));
+    request->respond({});
+    if (version)
+      note_version(request->sender + ":" + std::to_string(settings_.peer_port), *version);
   } else if (target == state_path) {
     request->respond({.text = state_document()});
   } else if (target.starts_with(map_path)) {
@@ -121,7 +131,32 @@
   nlohmann::json entries = nlohmann::json::object();
   for (const auto* each : known_.directory.all())
     entries[each->agent] = nlohmann::json::parse(platform::encode_registration(*each));
-  return nlohmann::json{{"state", known_.state_text()}, {"registrations", entries}}.dump();
+  nlohmann::json maps = nlohmann::json::array();
+  for (const auto& [name, service] : known_.routes().state().services)
+    if (const auto* map = known_.find_map(name)) maps.push_back(claims::to_json_text(*map));
+  return nlohmann::json{
+      {"state", known_.state_text()}, {"registrations", entries}, {"claims", std::move(maps)}}
+      .dump();
+}
+
+void peer_side::tick(time_point now, bool store_reached) {
+  if (now < next_greeting_ || known_.routes().version() == 0) return;
+  next_greeting_ = now + (store_reached ? greeting_interval : greeting_interval_in_outage);
+  const auto peers = known_.directory.all();
+  if (peers.empty()) return;
+  const auto place = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(random_);
+  if (peers[place]->agent != settings_.name)
+    asio::co_spawn(executor_, greet(peers[place]->address), asio::detached);
+}
+
+asio::awaitable<void> peer_side::greet(endpoint peer) {
+  cancellation nobody;
+  exchange_request request;
+  request.head = "GET " + std::string(greeting_path) + std::to_string(known_.routes().version()) +
+                 " HTTP/1.1\r\nHost: " + peer + "\r\n";
+  request.deadline = boot_now() + fetch_timeout;
+  // Whether it arrives shows nowhere here: the next peer is greeted in any case.
+  co_await run_exchange(peers_, peer, std::move(request), nobody);
 }
 
 void peer_side::note_version(const endpoint& peer, std::uint64_t state_version) {
@@ -150,6 +185,11 @@
         known_.directory.put(std::move(*entry), boot_now());
     }
     claims_.fleet_changed(boot_now());
+    for (const auto& text : document.at("claims")) {
+      failure reason;
+      if (const auto map = claims::map_from_json_text(text.get_ref<const std::string&>(), reason))
+        claims_.map_seen(*map, boot_now());
+    }
   } catch (const nlohmann::json::exception& error) {
     log_.line(support::line_class::process,
               "peer_state_unreadable peer=" + peer + " why=\"" + error.what() + "\"", boot_now());
--- a/src/fleet/internal/peer_side.h
+++ b/src/fleet/internal/peer_side.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "fleet/internal/attempt.h"
@@ -33,6 +34,10 @@
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> what, std::string agent,
                                                endpoint to);
 
+  /// Lets time act: tells some peer now and then which desired state is in force here, so that an
+  /// agent that started while the store is out of its reach learns what it needs.
+  void tick(time_point now, bool store_reached);
+
   /// Sets who is told of a desired state that a peer passed on, in its stored form.
   void on_state(std::function<void(const std::string&)> action) { on_state_ = std::move(action); }
 
@@ -40,6 +45,7 @@
   boost::asio::awaitable<void> serve(std::shared_ptr<server_request> request,
                                      std::shared_ptr<attempt> what);
   boost::asio::awaitable<void> serve_call(std::shared_ptr<server_request> request);
+  boost::asio::awaitable<void> greet(endpoint peer);
   void note_version(const endpoint& peer, std::uint64_t state_version);
   boost::asio::awaitable<void> fetch_state(endpoint peer);
   std::string state_document() const;
@@ -53,6 +59,8 @@
   support::event_log& log_;
   std::function<void(const std::string&)> on_state_;
   bool fetching_ = false;
+  time_point next_greeting_{};
+  std::mt19937_64 random_;
 };
 
 }  // namespace masticshunt::fleet
