Tell callers soon when a key's owner is away for long

Change: entry and gate remember since when an owner, or a range, is away; past 450 ms requests wait 20 ms instead of 300 and 150.

--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -23,7 +23,6 @@
 constexpr milliseconds shortest_attempt{5};
 constexpr duration owner_poll = milliseconds{25};
 constexpr double owner_wait_share = 0.25;  // of the time that the request has
-constexpr duration owner_wait_max = milliseconds{300};
 constexpr int gates_tried_max = 4;
 constexpr int attempts_max = 16;
 constexpr std::size_t trail_bytes_max = 400;
@@ -62,6 +61,7 @@
   milliseconds retry_after{0};
   std::string detail;
   std::string agent;
+  std::string owner;  ///< Of a keyed request: its service and the agent that owns the key.
   std::string trail;  ///< Each attempt's agent, result, reason and time, for the log.
   std::optional<attempt_outcome> fallback;  ///< The upstream's failure, kept while trying again.
 };
@@ -170,6 +170,7 @@
       profiles_[now.route].answered(outcome.ran_for, outcome.load->service_time,
                                     outcome.body ? outcome.body->received() : 0);
     note_attempt(now, outcome);
+    if (now.keyed) note_owner(now, outcome);
     switch (judge(now, *agent, outcome)) {
       case next_step::answer:
         answer(now, std::move(outcome));
@@ -200,6 +201,14 @@
   }
 }
 
+void entry::note_owner(const job& now, const attempt_outcome& outcome) {
+  if (outcome.result == attempt_result::answered || outcome.why == refusal::overloaded)
+    owners_away_.back(now.owner);
+  else if (outcome.result == attempt_result::unreachable || outcome.why == refusal::owner_pending ||
+           outcome.why == refusal::no_upstream)
+    owners_away_.away(now.owner, boot_now());
+}
+
 void entry::note_attempt(job& now, const attempt_outcome& outcome) {
   if (now.trail.size() > trail_bytes_max) return;
   const auto at =
@@ -220,13 +229,16 @@
                                    profiles_[now.route].outline(bytes));
   }
   const auto owner = known_.owner_of(now.service, *now.stamp.key);
+  now.owner = now.service + '/' + (owner ? owner->agent : std::string{});
   if (!owner) {
+    owners_away_.away(now.owner, moment);
     claims_.refresh_map(now.service);
     now.last_refusal = refusal::owner_pending;
     return std::nullopt;
   }
   if (!known_.directory.reachable(owner->agent, moment) ||
       known_.directory.find(owner->agent) == nullptr) {
+    owners_away_.away(now.owner, moment);
     claims_.refresh_map(now.service);
     now.last_refusal = refusal::owner_pending;
     return std::nullopt;
@@ -237,9 +249,9 @@
 
 asio::awaitable<bool> entry::await_owner(job& now) {
   const auto whole = now.deadline - now.request->arrived;
-  const auto most =
-      std::min(owner_wait_max, std::chrono::duration_cast<duration>(whole * owner_wait_share));
   const auto moment = boot_now();
+  const auto most = std::min(owners_away_.wait_for(now.owner, moment),
+                             std::chrono::duration_cast<duration>(whole * owner_wait_share));
   if (!now.pending_since) now.pending_since = moment;
   if (moment - *now.pending_since >= most) co_return false;
   asio::steady_timer pause(executor_, owner_poll);
--- a/src/fleet/internal/entry.h
+++ b/src/fleet/internal/entry.h
@@ -15,6 +15,7 @@
 #include "fleet/internal/gate_service.h"
 #include "fleet/internal/knowledge.h"
 #include "fleet/internal/peer_side.h"
+#include "masticshunt/decisions/requests/patience.h"
 #include "masticshunt/decisions/requests/repeat_budget.h"
 #include "masticshunt/decisions/routing/route_profile.h"
 #include "masticshunt/support/event_log.h"
@@ -46,6 +47,7 @@
   boost::asio::awaitable<attempt_outcome> try_once(job& now, const std::string& agent);
   boost::asio::awaitable<bool> await_owner(job& now);
   [[nodiscard]] std::optional<std::string> choose(job& now);
+  void note_owner(const job& now, const attempt_outcome& outcome);
   static void note_attempt(job& now, const attempt_outcome& outcome);
   next_step judge(job& now, const std::string& agent, const attempt_outcome& outcome);
   [[nodiscard]] bool may_repeat(job& now);
@@ -63,6 +65,7 @@
   support::event_log& log_;
   support::metrics_registry& metrics_;
   requests::repeat_budget budget_;
+  requests::patience owners_away_{{}};                      ///< By service and agent.
   std::map<std::string, routing::route_profile> profiles_;  ///< By route.
   std::mt19937_64 random_;
 };
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr duration key_wait_max = std::chrono::milliseconds{150};
 constexpr duration key_wait_step = std::chrono::milliseconds{15};
 constexpr double key_wait_share = 0.25;  // of the time left
 constexpr duration answer_grace = std::chrono::milliseconds{40};
@@ -205,12 +204,17 @@
   const auto began = boot_now();
   const auto share =
       std::chrono::duration_cast<duration>((what->deadline - began) * key_wait_share);
-  const auto until = began + std::min(key_wait_max, share);
+  const claims::claim* range = holder_->map().find(*what->key);
+  const auto name = std::to_string(range == nullptr ? *what->key : range->keys.first);
+  const auto until = began + std::min(ranges_away_.wait_for(name, began), share);
   asio::steady_timer step(executor_);
   for (;;) {
     const auto now = boot_now();
     const auto state = holder_->state_of(*what->key, now);
-    if (state == claims::hold_state::held) co_return std::nullopt;
+    if (state == claims::hold_state::held) {
+      ranges_away_.back(name);
+      co_return std::nullopt;
+    }
     const claims::claim* named = holder_->map().find(*what->key);
     // An entry that routed by a newer map may know that the key is about to be granted here.
     const bool newer_elsewhere = what->map_revision > holder_->map().revision;
@@ -220,6 +224,7 @@
       co_return outcome;
     }
     if (what->left->requested()) co_return attempt_outcome{.result = attempt_result::cancelled};
+    ranges_away_.away(name, now);
     if (now >= until) co_return refused(refusal::owner_pending, std::chrono::milliseconds{100});
     boost::system::error_code ignored;
     step.expires_after(key_wait_step);
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -15,6 +15,7 @@
 #include "fleet/internal/key_meter.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/requests/admission_queue.h"
+#include "masticshunt/decisions/requests/patience.h"
 #include "masticshunt/decisions/requests/transfer_queue.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
@@ -133,6 +134,7 @@
   bool stopping_ = false;
   claims::claim_holder* holder_ = nullptr;
   key_meter meter_;
+  requests::patience ranges_away_{{.wait = std::chrono::milliseconds{150}}};  ///< By first key.
   std::function<void(claims::shard_key)> on_missing_key_;
   duration service_time_{};
   std::uint32_t connect_failures_ = 0;
