--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view hop_name = "Masticshunt-Hop";
 constexpr std::string_view load_name = "Masticshunt-Load";
 constexpr std::string_view refusal_name = "Masticshunt-Refused";
+constexpr std::string_view detail_name = "Masticshunt-Detail";
 constexpr std::string_view version_name = "Masticshunt-State";
 constexpr std::string_view own_prefix = "Masticshunt-";
 constexpr std::string_view absent = "-";
@@ -206,6 +207,7 @@
         << claim.fence << ' ' << outcome.owner->revision;
   }
   out << "\r\n";
+  if (!outcome.detail.empty()) out << detail_name << ": " << outcome.detail << "\r\n";
   return out.str();
 }
 
@@ -237,6 +239,8 @@
   if (refusal_words >> hint.claim.holder.agent >> hint.claim.keys.first >> hint.claim.keys.last >>
       hint.claim.fence >> hint.revision)
     outcome.owner = hint;
+  const auto detail = from.find(beast_view(detail_name));
+  if (detail != from.end()) outcome.detail = std::string(detail->value());
   statement.refused = std::move(outcome);
   return statement;
 }
--- a/src/fleet/internal/entry.cpp
+++ b/src/fleet/internal/entry.cpp
@@ -387,6 +387,7 @@
       .add("attempts", now.attempts + 1)
       .add("reached", now.reached)
       .quote("trail", now.trail)
+      .quote("detail", now.detail)
       .add("rank", now.what ? now.what->rank : 0)
       .add("repeats_left",
            static_cast<int>(budget_.left(now.service, known_.directory.all().size(), moment)))
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -109,10 +109,24 @@
   const auto arrived = boot_now();
   std::optional<time_point> began;
   auto outcome = co_await admit_and_send(what, began);
+  if (outcome.result == attempt_result::not_run && outcome.detail.empty())
+    outcome.detail = refusal_detail(*what, arrived);
   record(*what, outcome, arrived, began);
   co_return outcome;
 }
 
+std::string gate_service::refusal_detail(const attempt& what, time_point arrived) const {
+  const auto now = boot_now();
+  support::event_text text("gate");
+  text.add("waited_ms", now - arrived)
+      .add("running", queue_.running())
+      .add("waiting", queue_.waiting())
+      .add("slots", slots_);
+  if (what.key && holder_ != nullptr)
+    text.add("right_ms", holder_->right_end() - now).add("gate_map", holder_->map().revision);
+  return text.text();
+}
+
 void gate_service::record(const attempt& what, const attempt_outcome& outcome, time_point arrived,
                           std::optional<time_point> began) {
   const auto now = boot_now();
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -113,6 +113,8 @@
                                                           time_point now) const;
   void carry_out(const requests::admission_actions& actions);
   void learn(duration took);
+  /// Returns what decided that `what` was refused, for the lines of the entry and the gate.
+  [[nodiscard]] std::string refusal_detail(const attempt& what, time_point arrived) const;
   void record(const attempt& what, const attempt_outcome& outcome, time_point arrived,
               std::optional<time_point> began);
 
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -106,6 +106,11 @@
                                  remedy);
     return std::nullopt;
   }
+  if (settings.link_megabits <= 0) {
+    reason = {failure_kind::bad_input, std::string(file) + ": [link] bandwidth is not above zero",
+              "write the VM's megabits a second"};
+    return std::nullopt;
+  }
   return settings;
 }
 
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -26,8 +26,9 @@
                       "the upstream refused it although its gate had a slot for it: the upstream "
                       "is at fault, or full with work of an earlier process of its agent"},
     meaning_of_reason{"owner_pending",
-                      "nobody could run its key at that moment: look for released, assigned, "
-                      "\"owner silent\" and \"owner ended\" lines with its key"},
+                      "nobody could run its key at that moment. A negative right_ms: its owner may "
+                      "hold nothing, as neither a leader nor the store answers it. Else the key "
+                      "was being moved: look for released and assigned lines with its key"},
     meaning_of_reason{"not_owner", "the entry's claim map was older than the move of its key"},
     meaning_of_reason{"leaving", "the upstream or its agent was about to stop"},
     meaning_of_reason{"no_upstream",
@@ -92,6 +93,7 @@
   for (const log_line& each : lines) {
     const bool request_line = !each.value("id").empty();
     const bool concerned = agents.contains(each.agent) || each.event == "leader";
+    if (each.event == "log_held_back") continue;
     if (!request_line && concerned && each.time <= until && each.time >= until - beliefs_before_s)
       found.push_back(&each);
   }
@@ -113,7 +115,8 @@
   if (entry == nullptr)
     return "  No line of the entry: the log of the caller's VM is missing, or the line was held "
            "back; see log_held_back.\n";
-  for (const auto& agent : agents_tried(*entry)) {
+  const auto tried = agents_tried(*entry);
+  for (const auto& agent : std::set<std::string>(tried.begin(), tried.end())) {
     const bool told = std::ranges::any_of(
         story, [&](const log_line* each) { return each->event == "gate" && each->agent == agent; });
     if (told) continue;
--- a/tests/fleet/attempt_test.cpp
+++ b/tests/fleet/attempt_test.cpp
@@ -56,6 +56,22 @@
   expect_false(read_hop(fields_of("Masticshunt-Hop: -5 1 1\r\n"), now, read));
 }
 
+Test(hop, a_refusal_carries_what_decided_it) {
+  const auto outcome = refused(refusal::overloaded, milliseconds{70}, "gate running=12 slots=12");
+  const auto read = read_peer_statement(fields_of(refusal_line(outcome)));
+  expect_true(read.refused.has_value());
+  expect_equal(read.refused->detail, "gate running=12 slots=12");
+}
+
+Test(hop, an_answer_tells_for_how_long_it_ran) {
+  routing::load_statement load{.running = 3, .slots = 12, .service_time = milliseconds{60}};
+  load.ran_for = milliseconds{45};
+  const auto read = read_peer_statement(fields_of(load_line(load)));
+  expect_true(read.load.has_value());
+  expect_true(read.load->ran_for == milliseconds{45});
+  expect_true(read.load->service_time == milliseconds{60});
+}
+
 Test(hop, a_refusal_is_read_as_it_was_sent) {
   auto outcome = refused(refusal::not_owner, milliseconds{70});
   outcome.owner = owner_hint{{{10, 20}, {"vm-2", 0}, {}, 9, ""}, 33};
--- a/tests/fleet/settings_test.cpp
+++ b/tests/fleet/settings_test.cpp
@@ -50,6 +50,11 @@
   expect_true(why.find("agent.ini:11") != std::string::npos, why);
 }
 
+Test(fleet_settings, a_link_without_bandwidth_is_refused) {
+  const std::string text = std::string(sample) + "[link]\nbandwidth = 0\n";
+  expect_true(refusal_of(text).find("[link] bandwidth") != std::string::npos);
+}
+
 Test(fleet_settings, an_address_needs_a_port) {
   expect_true(refusal_of(replaced("10.0.0.9:9000", "10.0.0.9")).find("IP:PORT") !=
               std::string::npos);
--- a/tests/operator/explain_test.cpp
+++ b/tests/operator/explain_test.cpp
@@ -62,6 +62,16 @@
   expect_false(contains(story.text, "vm-9"), story.text);
 }
 
+Test(explain, names_an_agent_whose_lines_are_missing_once) {
+  const std::string twice =
+      "time=100.500 agent=vm-1 event=request id=77 outcome=refused status=503 why=\"overloaded\" "
+      "trail=\"vm-2:not_run/overloaded@40;vm-2:not_run/overloaded@80\"";
+  const auto text = explain_request("77", log({twice})).text;
+  const auto first = text.find("No gate line of vm-2");
+  expect_true(first != std::string::npos, text);
+  expect_true(text.find("No gate line of vm-2", first + 1) == std::string::npos, text);
+}
+
 Test(explain, names_the_lines_that_are_missing) {
   expect_true(contains(explain_request("77", log({entry_line})).text, "No gate line of vm-2"));
   expect_true(contains(explain_request("77", log({gate_line})).text, "No line of the entry"));
--- /dev/null
+++ b/tools/process_soak.cpp
@@ -0,0 +1,56 @@
+/// @file
+/// Randomised runs of real agents under faults from outside; prints every promise that was broken.
+#include <docopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <string>
+
+#include "process_soak/run.h"
+
+namespace {
+
+constexpr char usage[] =
+    R"(Runs agents as processes on loopback, injects faults, and checks promises.
+
+Usage:
+  process_soak --program=<path> [options]
+
+Options:
+  --program=<path>  The masticshunt binary.
+  --seed=<n>        The first seed [default: 1].
+  --seeds=<n>       How many seeds to play, one after the other [default: 1].
+  --trouble=<s>     Seconds of faults in each run [default: 15].
+  --agents=<n>      Agents, 2 to 60 [default: 6].
+  --net=<n>         Second part of all addresses, 0 to 255, for runs side by side [default: 0].
+  --logs=<dir>      Where settings and logs go [default: process-soak-logs].
+)";
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace masticshunt::process_soak;
+  const auto options = docopt::docopt(usage, {argv + 1, argv + argc});
+  const auto number = [&](const char* name) { return std::stoull(options.at(name).asString()); };
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::uint64_t failed = 0;
+  for (auto seed = number("--seed"); seed < number("--seed") + number("--seeds"); ++seed) {
+    run one({.program = options.at("--program").asString(),
+             .seed = seed,
+             .trouble = std::chrono::seconds{number("--trouble")},
+             .agents = number("--agents"),
+             .net = number("--net"),
+             .directory = std::filesystem::path(options.at("--logs").asString()) /
+                          ("seed-" + std::to_string(seed))});
+    const bool kept = one.play();
+    std::string statuses;
+    for (const auto& [status, count] : one.promises().by_status())
+      statuses += " " + std::to_string(status) + "=" + std::to_string(count);
+    std::printf("seed %llu: %s, %llu requests,%s\n", static_cast<unsigned long long>(seed),
+                kept ? "kept" : "BROKEN", static_cast<unsigned long long>(one.promises().asked()),
+                statuses.c_str());
+    failed += kept ? 0 : 1;
+  }
+  return failed == 0 ? 0 : 1;
+}
