Have owners look for the next leader after one has resigned

Change: without a leader, reports go to the candidates in turn; whoever leads answers with its map. Test: claim_holder::looks_for_the_next_leader_once_one_has_resigned failed before.

--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -334,8 +334,9 @@
 }
 
 void claim_holder::report_due(time_point now, holder_actions& out) {
-  if (report_in_flight_ || map_.leader_address.empty()) return;
-  if (registration_ && now - last_reply_ >= timing_.reject_after && !candidates_.empty() &&
+  const bool leaderless = map_.leader_address.empty();
+  if (report_in_flight_ || (leaderless && (map_.revision == 0 || candidates_.empty()))) return;
+  if (!leaderless && registration_ && now - last_reply_ >= timing_.reject_after && !candidates_.empty() &&
       rejected_life_ == 0) {
     rejected_life_ = map_.leader_life;
     notes_.push_back("leader rejected agent=" + map_.leader);
@@ -345,7 +346,10 @@
   report_now_ = false;
   next_report_ = now + timing_.report_interval;
   endpoint to = map_.leader_address;
-  if (rejected_life_ != 0) {
+  if (leaderless) {
+    // The last one has resigned; whoever leads next answers with its map.
+    to = candidates_[next_candidate_++ % candidates_.size()];
+  } else if (rejected_life_ != 0) {
     // The leader is told too: if it lives, it begins a new life in the lead.
     const std::size_t place = next_candidate_++ % (candidates_.size() + 1);
     if (place < candidates_.size()) to = candidates_[place];
--- a/tests/decisions/claims/claim_holder_test.cpp
+++ b/tests/decisions/claims/claim_holder_test.cpp
@@ -236,6 +236,25 @@
   expect_true(it.subject.right_end() == before);
 }
 
+Test(claim_holder, looks_for_the_next_leader_once_one_has_resigned) {
+  holder_fixture it;
+  it.register_as(7);
+  it.subject.set_candidates({"10.0.0.5:7600", "10.0.0.6:7600"});
+  auto resigned = it.map_naming(7, 1, 10);
+  resigned.leader.clear();
+  resigned.leader_address.clear();
+  it.subject.map_seen(resigned, it.now);
+  std::vector<endpoint> asked;
+  for (int i = 0; i < 20; ++i, it.now += milliseconds{100}) {
+    for (const auto& each : it.tick<send_report>()) {
+      asked.push_back(each.leader);
+      it.subject.leader_answered(std::nullopt, it.now, it.now);
+    }
+  }
+  for (const auto* candidate : {"10.0.0.5:7600", "10.0.0.6:7600"})
+    expect_true(std::ranges::find(asked, candidate) != asked.end(), candidate);
+}
+
 Test(claim_holder, accepts_replies_only_of_the_leader_that_its_map_names) {
   holder_fixture it;
   it.register_as(7);
