--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 BUILD ?= build
 SEED ?= 1
 STEPS ?= 200000
+SEEDS ?= 5
 
 .PHONY: all packages configure build test demo bench soak capacity format check-format lint
 
@@ -27,6 +28,7 @@
 soak: build
 	$(BUILD)/soak --seed $(SEED) --steps $(STEPS)
 	$(BUILD)/policy_bench --seed $(SEED) --chain $(STEPS)
+	$(BUILD)/process_soak --program=$(BUILD)/masticshunt --seed=$(SEED) --seeds=$(SEEDS) --logs=$(BUILD)/process-soak-logs
 
 capacity: build
 	$(BUILD)/capacity
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -17,7 +17,6 @@
 
 #include "decisions/requests/virtual_time/chain_run.h"
 #include "decisions/requests/virtual_time/connection_run.h"
-#include "decisions/requests/virtual_time/link_run.h"
 #include "decisions/requests/virtual_time/policy_run.h"
 
 namespace {
@@ -285,18 +284,6 @@
   return rows;
 }
 
-/// Prints what a link budget does for lookups beside large bodies.
-void print_links(std::uint64_t seed) {
-  std::printf("\n%-44s %12s %12s\n", "link of 4 Gbit/s", "lookup p99", "bulk share");
-  const auto print = [](const char* name, const link_result& result) {
-    std::printf("%-44s %9.3f ms %11.1f%%\n", name, milliseconds_of(result.lookup_p99),
-                100 * result.bulk_share);
-  };
-  print("lookups alone", run_link(true, seed, false));
-  print("with large bodies, naive", run_link(false, seed));
-  print("with large bodies, budget", run_link(true, seed));
-}
-
 /// Prints what hedging and outlier detection do against a connection that went silent.
 void print_connections(std::uint64_t seed) {
   std::printf("\n%-44s %9s %9s %9s %9s\n", "one of eight connections silent", "p50 ms", "p99 ms",
@@ -349,7 +336,6 @@
 int bench(const options& given) {
   std::vector<figure_row> rows = run_all(given);
   if (!given.csv.empty()) write_csv(given.csv, rows);
-  print_links(given.seed);
   print_connections(given.seed);
   verdicts all;
   std::printf("\n%-72s target      figure\n", "target");
