Send maps to owners without changes only now and then; take registrations in larger batches

Change: a map goes with a reply at most every 1.2 s, at once in a new life of the lead; later changes of registrations are taken in together after 900 ms; the number of ranges may grow with the owners. Tests: leader::sends_maps_to_owners_without_changes_only_now_and_then, leader::sends_the_map_of_a_new_life_at_once.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -104,6 +104,7 @@
     time_point last_report{};
     time_point rejected{};     ///< When it last said that it rejects the present leader.
     time_point right_until{};  ///< By the replies it was sent.
+    time_point map_sent{};     ///< With a reply.
     std::uint64_t ended = 0;   ///< Registrations up to this one are over.
     bool suspected = false;
     bool lease_call = false;
@@ -183,6 +184,7 @@
 
   bool holds_ = false;
   bool overtaken_ = false;           ///< The store refused the last write; why is not known yet.
+  std::uint64_t life_revision_ = 0;  ///< The first map that names the present life in the lead.
   bool rejected_ = false;            ///< An owner accepts no replies of this life in the lead.
   time_point earlier_leader_end_{};  ///< Of the leader before.
   time_point leader_since_{};
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -336,8 +336,8 @@
 void claim_holder::report_due(time_point now, holder_actions& out) {
   const bool leaderless = map_.leader_address.empty();
   if (report_in_flight_ || (leaderless && (map_.revision == 0 || candidates_.empty()))) return;
-  if (!leaderless && registration_ && now - last_reply_ >= timing_.reject_after && !candidates_.empty() &&
-      rejected_life_ == 0) {
+  if (!leaderless && registration_ && now - last_reply_ >= timing_.reject_after &&
+      !candidates_.empty() && rejected_life_ == 0) {
     rejected_life_ = map_.leader_life;
     notes_.push_back("leader rejected agent=" + map_.leader);
   }
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -14,6 +14,7 @@
 constexpr duration retry_interval = std::chrono::milliseconds{250};
 constexpr duration rejected_fresh = std::chrono::milliseconds{1'200};
 constexpr duration first_leader_after = std::chrono::milliseconds{1'500};
+constexpr duration map_interval = std::chrono::milliseconds{1'200};
 /// The owner has long passed it on by then; maps travel often and should be small.
 constexpr duration handover_kept = std::chrono::seconds{4};
 constexpr duration join_interval = std::chrono::milliseconds{1'200};
@@ -202,6 +203,7 @@
   pending_.reset();
   written.revision = revision;
   const bool was_leads = holds_;
+  if (!was_leads || written.leader_life != map_.leader_life) life_revision_ = revision;
   holds_ = !written.leader.empty();
   leader_until_ = sent + timing_.leader_right;
   last_write_ = sent;
@@ -229,8 +231,14 @@
       candidate_of.rejected = now;
     return reply;
   }
-  if (report.map_revision < map_.revision) reply.map = map_;
   owner& one = owners_[report.holder.agent];
+  // Owners whose keys changed were sent the map; the others need it only now and then.
+  const bool of_earlier_life = report.map_revision < life_revision_;
+  if (of_earlier_life ||
+      (report.map_revision < map_.revision && now - one.map_sent >= map_interval)) {
+    reply.map = map_;
+    one.map_sent = now;
+  }
   const std::uint64_t registration = report.holder.registration;
   if (registration > 0) one.ended = std::max(one.ended, registration - 1);
   if (registration > one.report.holder.registration) one.deleting = false;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -23,8 +23,9 @@
 constexpr double indivisible_from = 0.5;     // of its owner's slots: too large for evening out
 constexpr double faster_worth_a_move = 0.8;  // service time there, as a share of that here
 constexpr std::size_t moves_at_once = 12;
-constexpr std::size_t claims_max = 200;
-constexpr std::size_t tidy_from = 40;  // claims from which cold fragments are given back
+constexpr std::size_t claims_max = 200;         // of few owners
+constexpr std::size_t claims_max_of_owner = 8;  // of many owners, each
+constexpr std::size_t tidy_from = 40;           // claims from which cold fragments are given back
 constexpr std::size_t tidied_at_once = 4;
 constexpr double cold_below = 0.05;  // of the slots of the owner that takes it
 constexpr std::uint32_t fragment_keys_max = 1'024;
@@ -258,8 +259,9 @@
 void leader::demand_balance(time_point now) {
   if (now < next_balance_ || now - leader_since_ < settle_time) return;
   next_balance_ = now + balance_interval;
-  if (moves_under_way() >= moves_at_once || map_.claims.size() > claims_max) return;
   auto shares = loads(map_.claims, now);
+  const auto most_claims = std::max(claims_max, claims_max_of_owner * shares.size());
+  if (moves_under_way() >= moves_at_once || map_.claims.size() > most_claims) return;
   if (shares.size() < 2) return;
   note_shares(shares, now);
   // What is on its way counts as moved; an owner that answers late holds up nobody else.
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr duration housekeeping_interval = std::chrono::milliseconds{100};
-constexpr duration registration_batching = std::chrono::milliseconds{300};
+/// A change is seen at once; more of them within this time are taken in together.
+constexpr duration registration_batching = std::chrono::milliseconds{900};
 /// Callers stop sending to an agent that is not ready after this time.
 constexpr duration leave_after = std::chrono::milliseconds{2'600};
 /// The gate refuses new work from here on, so that its last requests end in time.
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -211,6 +211,29 @@
   expect_false(it.subject.report_received(report, it.now).to_release.empty());
 }
 
+Test(leader, sends_maps_to_owners_without_changes_only_now_and_then) {
+  leader_fixture it;
+  it.run_with({"vm-1", "vm-2"}, seconds{6});
+  int maps = 0;
+  for (int i = 0; i < 60; ++i, it.now += milliseconds{100}) {
+    auto report = it.report("vm-1");
+    report.map_revision = it.stored.revision - 1;  // It never takes one in.
+    maps += it.subject.report_received(report, it.now).map ? 1 : 0;
+    it.subject.report_received(it.report("vm-2"), it.now);
+    it.tick();
+  }
+  expect_true(maps >= 4 && maps <= 6, std::to_string(maps));
+}
+
+Test(leader, sends_the_map_of_a_new_life_at_once) {
+  leader_fixture it;
+  it.run_with({"vm-1"}, seconds{6});
+  auto report = it.report("vm-1");
+  report.map_revision = 0;
+  expect_true(it.subject.report_received(report, it.now).map.has_value());
+  expect_true(it.subject.report_received(report, it.now).map.has_value());
+}
+
 Test(leader, moves_the_densest_load_from_the_busiest_owner) {
   leader_fixture it;
   it.run_with({"vm-1", "vm-2"}, seconds{6});
