Pass on no request that crosses our close; answer all pipelined ones before closing

Found beside it: a gentle close ended a connection after the first of several pipelined requests, cutting those already passed on. Change: after our close nothing is read as a request; while closing, no further one is read behind pending ones, and only the last answer says close. Tests: server::passes_on_no_request_that_crosses_its_close, server::answers_all_pipelined_requests_before_it_closes_gently failed before.

--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -128,6 +128,9 @@
         if (request) request->body->fail();
         co_return false;
       }
+      // What crosses our close is not read as a request: its sender takes it for not sent.
+      const bool ends = server_ == nullptr || (server_->closing() && !pending_.empty());
+      if (!request && (shut_ || ends || !socket_.is_open())) co_return false;
     }
     body_in_progress_ = false;
     while (pending_.size() >= server_->limits().pipelined_max && socket_.is_open()) {
@@ -261,7 +264,8 @@
       }
     }
     // A body that was never asked for does not come, or comes all the same: nobody can tell.
-    if (answer.close || server_->closing() || front.holds_body_back()) front.keep_alive_ = false;
+    const bool last = server_->closing() && pending_.size() == 1;
+    if (answer.close || last || front.holds_body_back()) front.keep_alive_ = false;
     if (!front.keep_alive_) {
       out_ += "Connection: close\r\n";
     } else if (front.http_1_0_) {
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -109,10 +109,14 @@
   return ends;
 }
 
+using handler_with_server =
+    std::function<void(const std::shared_ptr<server_request>&, http_server&)>;
+
 /// Sends `bytes` to a server with `handler` and returns all that comes back until the end.
-std::string conversation(const std::string& bytes, const request_handler& handler) {
+std::string conversation_with(const std::string& bytes, const handler_with_server& handler) {
   asio::io_context context;
-  http_server server(context.get_executor(), handler);
+  http_server server(context.get_executor(),
+                     [&](const auto& request) { handler(request, server); });
   tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   const auto place = probe.local_endpoint();
   probe.close();
@@ -137,6 +141,10 @@
   return received;
 }
 
+std::string conversation(const std::string& bytes, const request_handler& handler) {
+  return conversation_with(bytes, [&](const auto& request, auto&) { handler(request); });
+}
+
 /// Runs an exchange with an address where nobody listens.
 exchange_end exchange_with_nobody() {
   asio::io_context context;
@@ -183,6 +191,37 @@
   return left;
 }
 
+/// Has a server close gently while a kept connection is idle, sends another request over that
+/// connection, and returns how many requests the handler saw.
+int requests_seen_around_a_gentle_close() {
+  asio::io_context context;
+  int seen = 0;
+  http_server server(context.get_executor(), [&seen](const auto& request) {
+    ++seen;
+    request->respond({.text = "first"});
+  });
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto place = probe.local_endpoint();
+  probe.close();
+  expect_equal(server.start("127.0.0.1:" + std::to_string(place.port())), "");
+  const auto talk = [&]() -> asio::awaitable<void> {
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    tcp::socket socket(context);
+    co_await socket.async_connect(place, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    std::array<char, 4096> part{};
+    co_await socket.async_read_some(asio::buffer(part), asio::use_awaitable);
+    server.close_gently();
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    constexpr int turns = 500;  // of the event loop, for the server to take the bytes in
+    for (int i = 0; i < turns; ++i) co_await asio::post(context, asio::use_awaitable);
+    context.stop();
+  };
+  asio::co_spawn(context, talk(), asio::detached);
+  context.run();
+  return seen;
+}
+
 /// What came of an exchange with a large body and a server whose handler asks for bodies.
 struct body_exchange {
   exchange_end end;
@@ -356,6 +395,26 @@
   expect_true(received.find("Content-Length: 1048576") != std::string::npos);
 }
 
+Test(server, passes_on_no_request_that_crosses_its_close) {
+  expect_equal(requests_seen_around_a_gentle_close(), 1);
+}
+
+Test(server, answers_all_pipelined_requests_before_it_closes_gently) {
+  std::vector<std::shared_ptr<server_request>> held;
+  const auto received =
+      conversation_with("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+                        [&held](const auto& request, http_server& server) {
+                          held.push_back(request);
+                          if (held.size() < 2) return;
+                          server.close_gently();
+                          held[0]->respond({.text = "first"});
+                          held[1]->respond({.text = "second"});
+                        });
+  const auto close = received.find("Connection: close");
+  expect_true(received.find("first") < close && close < received.find("second"), received);
+  expect_true(received.find("second") != std::string::npos, received);
+}
+
 Test(server, tells_a_request_that_its_sender_has_left) {
   expect_true(request_hears_of_departure());
 }
