--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -24,7 +24,7 @@
 /// Callers stop sending to an agent that is not ready after this time.
 constexpr duration leave_after = std::chrono::milliseconds{2'600};
 /// The gate refuses new work from here on, so that its last requests end in time.
-constexpr duration gate_closes_after = std::chrono::milliseconds{2'000};
+constexpr duration gate_closes_after = std::chrono::milliseconds{2'450};
 constexpr duration margin_before_grace = std::chrono::milliseconds{400};
 constexpr double bytes_of_megabit = 125'000;
 constexpr duration peer_idle_timeout = std::chrono::seconds{30};
