--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 soak: build
 	$(BUILD)/soak --seed $(SEED) --steps $(STEPS)
 	$(BUILD)/policy_bench --seed $(SEED) --chain $(STEPS)
-	$(BUILD)/process_soak --program=$(BUILD)/masticshunt --seed=$(SEED) --seeds=$(SEEDS) --logs=$(BUILD)/process-soak-logs
+	$(BUILD)/process_soak --program=$(BUILD)/masticshunt --seed=$(SEED) --seeds=$(SEEDS) \
+	  --also=tests/process_soak/failed_seeds.txt --logs=$(BUILD)/process-soak-logs
 
 capacity: build
 	$(BUILD)/capacity
--- a/tools/process_soak.cpp
+++ b/tools/process_soak.cpp
@@ -4,7 +4,9 @@
 
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <string>
+#include <vector>
 
 #include "process_soak/run.h"
 
@@ -20,12 +22,23 @@
   --program=<path>  The masticshunt binary.
   --seed=<n>        The first seed [default: 1].
   --seeds=<n>       How many seeds to play, one after the other [default: 1].
+  --also=<file>     Also plays the seeds that begin this file's lines.
   --trouble=<s>     Seconds of faults in each run [default: 15].
   --agents=<n>      Agents, 2 to 60 [default: 6].
   --net=<n>         Second part of all addresses, 0 to 255, for runs side by side [default: 0].
   --logs=<dir>      Where settings and logs go [default: process-soak-logs].
 )";
 
+/// Returns the numbers that begin lines of the file at `path`.
+std::vector<std::uint64_t> seeds_in(const std::string& path) {
+  std::vector<std::uint64_t> seeds;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);)
+    if (!line.empty() && line.front() >= '0' && line.front() <= '9')
+      seeds.push_back(std::stoull(line));
+  return seeds;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -34,8 +47,11 @@
   const auto number = [&](const char* name) { return std::stoull(options.at(name).asString()); };
   std::signal(SIGPIPE, SIG_IGN);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::vector<std::uint64_t> seeds;
+  if (const auto& also = options.at("--also")) seeds = seeds_in(also.asString());
+  for (std::uint64_t i = 0; i < number("--seeds"); ++i) seeds.push_back(number("--seed") + i);
   std::uint64_t failed = 0;
-  for (auto seed = number("--seed"); seed < number("--seed") + number("--seeds"); ++seed) {
+  for (const auto seed : seeds) {
     run one({.program = options.at("--program").asString(),
              .seed = seed,
              .trouble = std::chrono::seconds{number("--trouble")},
