Take the word that an upstream is gone also where it is the first one heard

That was acknowledged and forgotten, as no life was known; when the store came back the published registration, still ready, opened the gate again, and requests went there past the drain time. Change: the word is kept for the id it names.

--- a/tests/decisions/routing/upstream_watch_test.cpp
+++ b/tests/decisions/routing/upstream_watch_test.cpp
@@ -43,6 +43,31 @@
   expect_equal(it.last()->life.born_ms, 2);
 }
 
+Test(upstream_watch, the_word_that_it_is_gone_counts_before_anything_else_is_known) {
+  upstream_watch it(seconds{3});
+  expect_true(it.gone("i-1", start));
+  expect_true(it.leaving_since().has_value());
+  registration published{.agent = "vm-1", .service = "ledger", .life = {"i-1", 5}};
+  it.assume(published);
+  expect_true(it.leaving_since().has_value());
+  expect_true(it.stage(start) == upstream_stage::gone);
+}
+
+Test(upstream_watch, a_word_that_arrives_after_it_is_gone_does_not_bring_it_back) {
+  upstream_watch it(seconds{3});
+  it.gone("i-1", start);
+  it.heard(word(5, 40), start + seconds{1});
+  expect_true(it.leaving_since().has_value());
+  expect_true(it.stage(start + seconds{1}) == upstream_stage::gone);
+}
+
+Test(upstream_watch, a_later_life_with_the_id_of_one_that_is_gone_starts_anew) {
+  upstream_watch it(seconds{3});
+  it.gone("i-1", start);
+  expect_true(it.heard(word(5, 1), start + seconds{20}));
+  expect_false(it.leaving_since().has_value());
+}
+
 Test(upstream_watch, a_new_life_with_the_same_id_starts_anew) {
   upstream_watch it(seconds{3});
   it.heard(word(1, 9, true), start);
