--- a/include/masticshunt/decisions/routing/upstream_watch.h
+++ b/include/masticshunt/decisions/routing/upstream_watch.h
@@ -23,9 +23,8 @@
 /// Follows the lives of the upstream beside an agent by its words.
 ///
 /// Words may arrive late, also those of an earlier life: an older life, or a lower sequence of the
-/// same life, changes nothing. A life that said it leaves does not come back, also where that is the
-/// first word heard of it.
-/// Thread safety: none.
+/// same life, changes nothing. A life that said it leaves does not come back, also where that is
+/// the first word heard of it. Thread safety: none.
 class upstream_watch {
  public:
   /// `silence` without a word makes the upstream count as gone.
