--- /dev/null
+++ b/tests/decisions/claims/leader_fixture.h
@@ -0,0 +1,100 @@
+/// @file
+/// A leader with a store and owners, for tests of what it decides.
+#pragma once
+
+#include <algorithm>
+
+#include "expect.h"
+#include "masticshunt/decisions/claims/leader.h"
+
+namespace masticshunt::testing {
+
+using namespace masticshunt::claims;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A leader with a store that keeps one map, and owners that report when told to.
+struct leader_fixture {
+  claim_timing timing;
+  time_point now{seconds{100}};
+  leader subject{"ledger", "vm-9", "10.0.0.9:7600", 500, timing, now};
+  claim_map stored;
+  std::uint64_t revision = 10;
+  std::vector<read_owner_lease> lease_reads;
+  std::vector<delete_owner_lease> lease_deletions;
+  bool loses_answers = false;
+
+  leader_fixture() { subject.set_candidate(0); }
+
+  void run(duration span, duration step = milliseconds{50}) {
+    for (const auto end = now + span; now < end; now += step) tick();
+  }
+  void tick() {
+    for (const auto& each : subject.tick(now)) {
+      if (std::holds_alternative<read_map>(each)) {
+        subject.map_read(true, stored.revision == 0 ? std::nullopt : std::optional(stored), now);
+      } else if (const auto* write = std::get_if<write_map>(&each)) {
+        const bool holds = write->expected_revision == stored.revision;
+        if (holds) {
+          stored = write->map;
+          stored.revision = ++revision;
+        }
+        subject.map_written(loses_answers ? write_result::no_answer
+                            : holds       ? write_result::taken
+                                          : write_result::conflict,
+                            revision, now, now);
+      } else if (const auto* read = std::get_if<read_owner_lease>(&each)) {
+        lease_reads.push_back(*read);
+      } else if (const auto* remove = std::get_if<delete_owner_lease>(&each)) {
+        lease_deletions.push_back(*remove);
+      }
+    }
+  }
+  owner_report report(const std::string& agent, std::uint64_t registration = 1) const {
+    return {.service = "ledger",
+            .holder = {agent, registration},
+            .address = "10.0.0.1:7600",
+            .agent_life = 1,
+            .upstream = {"i-" + agent, 1'000},
+            .accepting = true,
+            .slots = 12,
+            .service_time = milliseconds{100},
+            .map_revision = stored.revision};
+  }
+  key_range owned_by(const std::string& agent) const {
+    return std::ranges::find_if(stored.claims,
+                                [&](const claim& each) { return each.holder.agent == agent; })
+        ->keys;
+  }
+  /// A report with `slots` of load, spread evenly over the first range of `agent`.
+  owner_report report_with_load(const std::string& agent, double slots) const {
+    constexpr shard_key parts = 8;
+    auto result = report(agent);
+    const auto owned = owned_by(agent);
+    const shard_key length = owned.size() / parts;
+    for (shard_key i = 0; i < parts; ++i)
+      result.loads.push_back(
+          {{owned.first + i * length, owned.first + (i + 1) * length - 1}, slots / parts});
+    return result;
+  }
+  /// Runs for `span` with `agents` reporting.
+  void run_with(const std::vector<std::string>& agents, duration span) {
+    for (const auto end = now + span; now < end; now += milliseconds{100}) {
+      for (const auto& each : agents) subject.report_received(report(each), now);
+      tick();
+    }
+  }
+  bool all_owned() const {
+    return std::ranges::none_of(stored.claims,
+                                [](const claim& each) { return each.holder.agent.empty(); });
+  }
+  bool owns_any(const std::string& agent) const {
+    return std::ranges::any_of(stored.claims,
+                               [&](const claim& each) { return each.holder.agent == agent; });
+  }
+  std::uint64_t highest_fence() const {
+    return std::ranges::max_element(stored.claims, {}, &claim::fence)->fence;
+  }
+};
+
+}  // namespace masticshunt::testing
