Leader: send the map with the first reply to a new process of an owner

Cause: a reply carried the map only if the owner's incarnation of it was old or none had been sent for a while. An agent that had just restarted with an older copy could get a lease without the map that took a range from it, and grant that range again under its old fence. Change: the first reply to another process carries the map if the process has an older one. Test: leader::a_restarted_owner_gets_the_map_at_once_if_it_started_with_an_older_one failed before.

--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -242,7 +242,9 @@
   owner_state& owner = owners_[report.holder.agent];
   // Owners whose keys changed were sent the map; the others need it only from time to time.
   const bool predates_incarnation = report.map_revision < incarnation_revision_;
-  if (predates_incarnation ||
+  // A new process may have started with an old map, and must not act on it.
+  const bool new_process = owner.agent_incarnation != report.agent_incarnation;
+  if (predates_incarnation || (new_process && report.map_revision < map_.revision) ||
       (report.map_revision < map_.revision && now - owner.map_sent >= map_resend_interval)) {
     reply.map = map_;
     owner.map_sent = now;
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -297,6 +297,18 @@
   expect_true(fixture.service_leader.report_received(report, fixture.now).lease > duration{});
 }
 
+Test(leader, a_restarted_owner_gets_the_map_at_once_if_it_started_with_an_older_one) {
+  leader_fixture fixture;
+  fixture.run_with({"vm-1", "vm-2"}, seconds{6});
+  auto report = fixture.report("vm-1");
+  report.map_revision = fixture.stored.revision - 1;
+  // The reply to the earlier process has just carried the map.
+  fixture.service_leader.report_received(report, fixture.now);
+  report.agent_incarnation = 2;
+  const auto reply = fixture.service_leader.report_received(report, fixture.now);
+  expect_true(reply.map && reply.map->revision == fixture.stored.revision);
+}
+
 Test(leader, a_resigning_leader_grants_no_leases) {
   leader_fixture fixture;
   fixture.run_with({"vm-1"}, seconds{6});
