Leader: move no range to an owner of 64 ranges

Change: balancing passes over targets with 64 ranges. Test: leader::moves_no_range_to_an_owner_of_very_many, which fails without the bound.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -152,6 +152,8 @@
                   const std::string& to, double slots) const;
   [[nodiscard]] std::size_t moves_in_progress() const;
   void log_shares(const std::map<std::string, double>& shares, time_point now);
+  /// Returns true if `agent` owns few enough ranges to take another one.
+  [[nodiscard]] bool has_room_for_range(const std::string& agent) const;
   [[nodiscard]] bool movable(const key_load& range_load, const std::string& from) const;
   /// Returns the sampling error of a `share` that was measured on a few requests.
   [[nodiscard]] double sampling_error(const std::string& agent, double share) const;
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t moves_at_once = 12;
 constexpr std::size_t claims_max = 200;          // limit with few owners
 constexpr std::size_t claims_max_of_owner = 8;   // limit per owner with many owners
+constexpr std::size_t ranges_of_owner_max = 64;  // its upstream is told all of them in one message
 constexpr std::size_t fragment_moves_from = 40;  // claims from which cold fragments are moved
 constexpr std::size_t fragment_moves_at_once = 4;
 constexpr double cold_below = 0.05;  // as a share of the target's slots
@@ -204,6 +205,12 @@
   shares[to] += slots * service_time_ratio(from, to) / std::max(1U, owners_.at(to).report.slots);
 }
 
+bool leader::has_room_for_range(const std::string& agent) const {
+  const auto owned = std::ranges::count_if(
+      map_.claims, [&](const claim& each) { return each.holder.agent == agent; });
+  return static_cast<std::size_t>(owned) < ranges_of_owner_max;
+}
+
 bool leader::movable(const key_load& range_load, const std::string& from) const {
   const claim* claimed = map_.find(range_load.keys.first);
   return range_load.slots > 0 && claimed != nullptr && claimed->holder.agent == from &&
@@ -241,7 +248,9 @@
   const bool occupied = std::ranges::any_of(target_loads, [&](const key_load& each) {
     return each.slots >= indivisible_from * owners_.at(fastest->first).report.slots;
   });
-  if (service_time_ratio(from, fastest->first) > faster_ratio_max || occupied) return false;
+  if (service_time_ratio(from, fastest->first) > faster_ratio_max || occupied ||
+      !has_room_for_range(fastest->first))
+    return false;
   plan_move(hottest, from, fastest->first, shares, now);
   return true;
 }
@@ -289,6 +298,7 @@
         most->second - least->second < gap_from + sampling_error(most->first, share))
       return;
     if (plan_hot_range_move(most->first, shares, now)) continue;
+    if (!has_room_for_range(least->first)) return;
     if (!plan_dense_range_move(most->first, least->first, most->second - least->second, shares,
                                now))
       return;
--- a/tests/decisions/claims/placement_test.cpp
+++ b/tests/decisions/claims/placement_test.cpp
@@ -149,3 +149,31 @@
     fixture.tick();
   }
 }
+
+Test(leader, moves_no_range_to_an_owner_of_very_many) {
+  leader_fixture fixture;
+  constexpr shard_key narrow = 128;
+  constexpr shard_key width = 256;
+  fixture.stored = empty_map("ledger");
+  fixture.stored.claims.clear();
+  for (shard_key i = 0; i < narrow; ++i) {
+    const std::string agent = i % 2 == 0 ? "vm-2" : "vm-3";
+    fixture.stored.claims.push_back(
+        {{i * width, (i + 1) * width - 1}, {agent, 1}, {"i-" + agent, 1'000}, i + 1, ""});
+  }
+  fixture.stored.claims.push_back(
+      {{narrow * width, last_shard_key}, {"vm-1", 1}, {"i-vm-1", 1'000}, narrow + 1, ""});
+  fixture.stored.next_fence = narrow + 2;
+  fixture.stored.revision = ++fixture.revision;
+  fixture.run_with({"vm-1", "vm-2", "vm-3"}, fixture.timing.leader_lease + seconds{3});
+  const auto busy = fixture.report_with_load("vm-1", 14.0);
+  leader_reply reply;
+  for (int i = 0; i < 10; ++i, fixture.now += milliseconds{100}) {
+    for (const auto* agent : {"vm-2", "vm-3"})
+      fixture.service_leader.report_received(fixture.report(agent), fixture.now);
+    reply = fixture.service_leader.report_received(busy, fixture.now);
+    fixture.tick();
+  }
+  expect_true(reply.is_leader);
+  expect_true(reply.to_release.empty());
+}
