--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -8,10 +8,18 @@
 #include <variant>
 #include <vector>
 
+#include "masticshunt/decisions/claims/answer_history.h"
 #include "masticshunt/decisions/claims/claim_map.h"
+#include "masticshunt/decisions/claims/heartbeat_keys.h"
 
 namespace masticshunt::claims {
 
+/// How an upstream takes the keys that it is granted.
+enum class grant_transport {
+  call,      ///< By calls of the agent: `grant_keys` and `release_keys`.
+  heartbeat  ///< With the answers to its heartbeats: `answer_heartbeat`.
+};
+
 /// Identifies a call to the upstream.
 using grant_call = std::uint64_t;
 
@@ -84,6 +92,7 @@
 /// The lease comes from the leader's replies, or from renewing the lease record while the leader
 /// does not reply; each runs from when it was requested. No grant outlasts the lease, so once the
 /// lease has ended, the upstream is known to hold no keys.
+/// Grants travel by `grant_transport`; leases, fences and releases follow the same rules with both.
 /// Life cycle: one per process; call `tick` every `tick_interval` and pass in every answer.
 /// Thread safety: none.
 class claim_holder {
@@ -91,7 +100,8 @@
   /// `incarnation` identifies this process. An earlier process on this VM may have reported ranges
   /// as released, so nothing is granted before a leader has granted a lease to this process.
   claim_holder(std::string service, std::string agent, endpoint address, std::uint64_t incarnation,
-               claim_timing timing, time_point now);
+               claim_timing timing, time_point now,
+               grant_transport transport = grant_transport::call);
 
   /// Returns the actions that are due at `now`: grants, releases, calls about the lease record,
   /// reports and log events.
@@ -120,6 +130,21 @@
   /// once.
   void refused_by_upstream(shard_key key, time_point now);
 
+  /// @name Grants in the answers to heartbeats
+  /// @{
+
+  /// Applies the keys that the upstream reported in its newest heartbeat.
+  void heartbeat_received(const reported_keys& reported, connection_id connection, time_point now);
+  /// Returns true if the heartbeat that arrived at `arrived` is to be answered now: keys are to be
+  /// granted, renewed or released, or it has waited for `claim_timing::heartbeat_answer_wait`.
+  [[nodiscard]] bool heartbeat_answer_due(time_point arrived, time_point now) const;
+  /// Returns the keys for the answer, sent at once, to the heartbeat that arrived at `arrived`.
+  /// Returns nothing if the answer must name no keys, so that the upstream keeps those that it
+  /// holds until they run out.
+  std::optional<heartbeat_answer> answer_heartbeat(connection_id connection, time_point arrived,
+                                                   time_point now);
+  /// @}
+
   /// Returns whether a request for `key` may go to the upstream.
   [[nodiscard]] hold_state state_of(shard_key key, time_point now) const;
   /// Returns when this agent's lease ends; its upstream must hold no keys after that.
@@ -147,7 +172,10 @@
     time_point next_grant{};
     grant_call call = 0;  ///< In flight; zero if none.
     bool confirmed = false;
-    std::string released_handover;  ///< State handed over when the upstream released the range.
+    answer_number last_answer = 0;     ///< The last answer that granted it; zero if none.
+    std::uint64_t answered_fence = 0;  ///< The fence in that answer.
+    std::uint32_t rejections = 0;      ///< Answers in a row that did not make the upstream hold it.
+    std::string released_handover;     ///< State handed over when the upstream released the range.
   };
   struct call_in_flight {
     time_point sent;
@@ -162,6 +190,10 @@
   void append_due_releases(time_point now, holder_actions& out);
   void append_due_lease_call(time_point now, holder_actions& out);
   void append_due_report(time_point now, holder_actions& out);
+  void heartbeat_shows_release(held_range& range, const reported_keys& reported,
+                               answer_number last_read, time_point now);
+  void heartbeat_shows_grant(held_range& range, const reported_keys& reported, time_point now);
+  [[nodiscard]] duration hold_from(time_point arrived) const;
   void revoke(const std::string& why);
   [[nodiscard]] owner_report make_report(time_point now) const;
 
@@ -200,6 +232,8 @@
   time_point started_at_;
 
   std::vector<held_range> ranges_;
+  grant_transport transport_;
+  answer_history answers_;
   std::map<grant_call, call_in_flight> calls_;
   grant_call next_call_ = 1;
   std::size_t grants_in_flight_ = 0;
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -157,6 +157,12 @@
   /// Grants that were not sent within this time are dropped.
   duration send_limit = std::chrono::milliseconds{100};
   std::size_t grants_at_once = 4;
+  /// Answers to heartbeats that take longer than this are ignored by the upstream.
+  duration heartbeat_answer_limit = std::chrono::milliseconds{1'000};
+  /// An answer to a heartbeat waits so long for keys to be granted or released.
+  duration heartbeat_answer_wait = std::chrono::milliseconds{600};
+  /// An answer no longer waits if keys would otherwise run out within this time.
+  duration hold_reserve = std::chrono::milliseconds{400};
   duration report_interval = std::chrono::milliseconds{300};
   /// Without a leader's reply for this long, an owner renews its lease record as well.
   duration leader_reply_timeout = std::chrono::milliseconds{800};
--- a/include/masticshunt/fleet/settings.h
+++ b/include/masticshunt/fleet/settings.h
@@ -10,6 +10,7 @@
 
 #include "masticshunt/base/failure.h"
 #include "masticshunt/base/identity.h"
+#include "masticshunt/decisions/claims/claim_holder.h"
 
 namespace masticshunt::fleet {
 
@@ -30,6 +31,8 @@
   endpoint upstream;
   std::string service;
   std::chrono::milliseconds heartbeat{1'000};
+  /// How the upstream takes its keys, if its service is sharded by key.
+  claims::grant_transport grants = claims::grant_transport::call;
 
   endpoint store;
 
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -22,13 +22,16 @@
 }  // namespace
 
 claim_holder::claim_holder(std::string service, std::string agent, endpoint address,
-                           std::uint64_t incarnation, claim_timing timing, time_point now)
+                           std::uint64_t incarnation, claim_timing timing, time_point now,
+                           grant_transport transport)
     : service_(std::move(service)),
       agent_(std::move(agent)),
       address_(std::move(address)),
       incarnation_(incarnation),
       timing_(timing),
-      started_at_(now) {}
+      started_at_(now),
+      transport_(transport),
+      answers_(timing.heartbeat_answer_limit + timing.margin, now) {}
 
 holder_actions claim_holder::tick(time_point now) {
   holder_actions out;
@@ -38,8 +41,10 @@
     report_requested_ = true;
   }
   append_due_lease_call(now, out);
-  append_due_releases(now, out);
-  append_due_grants(now, out);
+  if (transport_ == grant_transport::call) {
+    append_due_releases(now, out);
+    append_due_grants(now, out);
+  }
   append_due_report(now, out);
   for (auto& text : std::exchange(log_events_, {}))
     out.emplace_back(holder_log_event{std::move(text)});
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -85,6 +85,9 @@
   peer_server_.set_limits(peer_limits);
   peers_.on_state([this](const std::string& text) { update_state(text, "peer"); });
   upstream_.on_change([this] { fleet_changed(); });
+  upstream_.on_keys([this](auto request, const claims::reported_keys& keys, bool changed) {
+    claims_.heartbeat_received(std::move(request), keys, changed, boot_now());
+  });
 }
 
 void agent_process::log_event(const std::string& text) {
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -76,6 +76,7 @@
       holder_->set_load(gate_.key_loads(now), gate_.service_time());
     }
     for (const auto& action : holder_->tick(now)) carry_out(action);
+    heartbeats_.tick(*holder_, now);
   }
   bool any_candidate = false;
   for (const auto& [service, leader] : leaders_) {
@@ -126,14 +127,26 @@
   const auto* config = view_.routes().find_service(service);
   if (config != nullptr && config->keyed && (!holder_ || holder_service_ != service)) {
     holder_service_ = service;
-    holder_ = std::make_unique<claims::claim_holder>(
-        service, settings_.name, settings_.peer_address(), incarnation_, timing_, now);
+    holder_ =
+        std::make_unique<claims::claim_holder>(service, settings_.name, settings_.peer_address(),
+                                               incarnation_, timing_, now, settings_.grants);
     gate_.set_holder(holder_.get());
     if (const auto* map = view_.find_map(service)) holder_->map_seen(*map, now);
   }
   if (holder_) holder_->update_upstream(incarnation, not_draining, slots, last_heartbeat_at, now);
 }
 
+void claims_driver::heartbeat_received(std::shared_ptr<server_request> request,
+                                       const claims::reported_keys& keys, bool at_once,
+                                       time_point now) {
+  if (!holder_) {
+    heartbeat_responder::answer_without_keys(*request);
+    return;
+  }
+  heartbeats_.received(*holder_, std::move(request), keys, at_once, now);
+  tick(now);
+}
+
 void claims_driver::map_seen(const claims::claim_map& map, time_point now) {
   view_.update_map(map);
   if (holder_) holder_->map_seen(map, now);
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -10,6 +10,7 @@
 
 #include "fleet/internal/fleet_view.h"
 #include "fleet/internal/gate_service.h"
+#include "fleet/internal/heartbeat_responder.h"
 #include "fleet/internal/store_client.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/claims/leader.h"
@@ -38,6 +39,10 @@
   void update_upstream(const std::optional<routing::upstream_incarnation>& incarnation,
                        const std::string& service, bool not_draining, std::uint32_t slots,
                        time_point last_heartbeat_at, time_point now);
+  /// Answers a heartbeat that reported `keys`, at once or later. `at_once`: it must not wait for
+  /// keys to be granted or released.
+  void heartbeat_received(std::shared_ptr<server_request> request,
+                          const claims::reported_keys& keys, bool at_once, time_point now);
   /// Handles a claim map from the store or from a peer.
   void map_seen(const claims::claim_map& map, time_point now);
   /// Handles the report of an owner. Returns the reply.
@@ -83,6 +88,7 @@
   claims::claim_timing timing_;
   std::unique_ptr<claims::claim_holder> holder_;
   std::string holder_service_;
+  heartbeat_responder heartbeats_;
   std::map<std::string, std::unique_ptr<claims::leader>> leaders_;
   std::map<std::string, bool> is_candidate_;
   std::map<std::string, time_point> refresh_after_;
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -54,8 +54,11 @@
 /// A connection of a server.
 class server_session : public std::enable_shared_from_this<server_session> {
  public:
-  server_session(http_server& server, tcp::socket socket)
-      : server_(&server), socket_(std::move(socket)), space_timer_(socket_.get_executor()) {
+  server_session(http_server& server, tcp::socket socket, std::uint64_t connection)
+      : server_(&server),
+        socket_(std::move(socket)),
+        connection_(connection),
+        space_timer_(socket_.get_executor()) {
     error_code ignored;
     const auto peer = socket_.remote_endpoint(ignored);
     if (!ignored) sender_ = peer.address().to_string();
@@ -179,6 +182,7 @@
     if (!request->body) request->body = std::make_shared<body_pipe>();
     if (parser.is_done() && !request->body->complete()) request->body->finish();
     request->sender = sender_;
+    request->connection = connection_;
     request->on_answer_ = [self = weak_from_this()] {
       if (const auto alive = self.lock()) alive->flush();
     };
@@ -383,6 +387,7 @@
 
   http_server* server_;
   tcp::socket socket_;
+  std::uint64_t connection_;
   asio::steady_timer space_timer_;
   boost::beast::flat_buffer buffer_;
   std::string sender_;
@@ -421,7 +426,8 @@
   acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
     if (!error) {
-      auto session = std::make_shared<server_session>(*this, std::move(socket));
+      auto session =
+          std::make_shared<server_session>(*this, std::move(socket), ++connections_accepted_);
       sessions_.insert(session);
       session->start();
     }
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -39,8 +39,9 @@
   request_head head;
   std::shared_ptr<body_pipe> body;
   time_point arrived;
-  std::string sender;   ///< IP address of the peer.
-  cancellation cancel;  ///< Requested when the sender disconnects.
+  std::string sender;            ///< IP address of the peer.
+  std::uint64_t connection = 0;  ///< Identifies the connection among all of this server.
+  cancellation cancel;           ///< Requested when the sender disconnects.
 
   /// Answers the request. Calls after the first have no effect.
   void respond(server_answer answer) {
@@ -123,6 +124,7 @@
   server_limits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<server_session>> sessions_;
+  std::uint64_t connections_accepted_ = 0;
   std::size_t open_requests_ = 0;
   bool closing_ = false;
 };
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -94,10 +94,11 @@
   }
   const auto now = boot_now();
   bool changed = false;
+  std::optional<claims::reported_keys> keys;
   const auto before = registration(now);
   if (notification.kind == platform::agent_request_kind::heartbeat) {
     failure reason;
-    const auto heartbeat =
+    auto heartbeat =
         platform::decode_heartbeat(notification.upstream_id, request->body->buffered(), reason);
     const bool known_service =
         heartbeat && (view_.routes().version() == 0 ||
@@ -112,12 +113,14 @@
       request->respond({.status = status_bad_request, .text = "heartbeat can't be used\n"});
       co_return;
     }
-    watch_.heartbeat_received({.incarnation = heartbeat->incarnation,
-                               .service = heartbeat->service,
-                               .slots = heartbeat->slots,
-                               .draining = heartbeat->draining,
-                               .sequence = heartbeat->sequence},
-                              now);
+    const bool newest = watch_.heartbeat_received({.incarnation = heartbeat->incarnation,
+                                                   .service = heartbeat->service,
+                                                   .slots = heartbeat->slots,
+                                                   .draining = heartbeat->draining,
+                                                   .sequence = heartbeat->sequence},
+                                                  now);
+    check_grants(*heartbeat, now);
+    if (newest) keys = std::move(heartbeat->keys);
   } else {
     watch_.gone(notification.upstream_id, now);
   }
@@ -141,7 +144,25 @@
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
   }
-  request->respond({.headers = "Content-Type: application/json\r\n", .text = "{}"});
+  if (keys && on_keys_) {
+    on_keys_(std::move(request), *keys, changed);
+    co_return;
+  }
+  request->respond({.headers = "Content-Type: application/json\r\n",
+                    .text = platform::encode_heartbeat_answer(std::nullopt)});
+}
+
+void upstream_registrar::check_grants(const platform::heartbeat& heartbeat, time_point now) {
+  const auto* service = view_.routes().find_service(heartbeat.service);
+  if (service == nullptr || !service->keyed || grants_checked_ == heartbeat.incarnation) return;
+  grants_checked_ = heartbeat.incarnation;
+  const bool by_heartbeat = settings_.grants == claims::grant_transport::heartbeat;
+  if (heartbeat.keys.has_value() == by_heartbeat) return;
+  log_.line(support::line_class::process,
+            "grants_mismatch upstream=" + heartbeat.incarnation.id +
+                " setting=" + (by_heartbeat ? "heartbeat" : "call") + " reports_keys=" +
+                (heartbeat.keys ? "yes" : "no") + " remedy=\"correct [upstream] grants\"",
+            now);
 }
 
 void upstream_registrar::apply(time_point now) {
--- a/src/fleet/internal/upstream_registrar.h
+++ b/src/fleet/internal/upstream_registrar.h
@@ -38,6 +38,11 @@
   void tick(time_point now);
   /// Sets the callback that runs after each heartbeat or change of the upstream's state.
   void on_change(std::function<void()> action) { on_change_ = std::move(action); }
+  /// Sets the callback that answers heartbeats which report keys. `changed`: the heartbeat changed
+  /// the registration.
+  using keys_handler = std::function<void(std::shared_ptr<server_request>,
+                                          const claims::reported_keys&, bool changed)>;
+  void on_keys(keys_handler action) { on_keys_ = std::move(action); }
 
   [[nodiscard]] const routing::upstream_watch& watch() const { return watch_; }
   /// Returns the registration to publish at `now`.
@@ -48,6 +53,8 @@
                                            platform::agent_request notification);
   boost::asio::awaitable<void> publish();
   void apply(time_point now);
+  /// Logs once for each incarnation if its heartbeats contradict the setting `grants`.
+  void check_grants(const platform::heartbeat& heartbeat, time_point now);
 
   boost::asio::any_io_executor executor_;
   const fleet_settings& settings_;
@@ -60,7 +67,9 @@
   bool publishing_ = false;
   time_point next_publish_{};
   bool unreachable_ = false;
+  std::optional<routing::upstream_incarnation> grants_checked_;
   std::function<void()> on_change_;
+  keys_handler on_keys_;
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -14,7 +14,8 @@
 
 using field_pointer = std::variant<std::string fleet_settings::*, bool fleet_settings::*,
                                    std::uint64_t fleet_settings::*, double fleet_settings::*,
-                                   std::chrono::milliseconds fleet_settings::*>;
+                                   std::chrono::milliseconds fleet_settings::*,
+                                   claims::grant_transport fleet_settings::*>;
 
 enum class presence { required, optional };
 
@@ -41,6 +42,7 @@
     setting_spec{"upstream", "address", &fleet_settings::upstream, presence::optional, true},
     setting_spec{"upstream", "service", &fleet_settings::service, presence::optional},
     setting_spec{"upstream", "heartbeat", &fleet_settings::heartbeat, presence::optional},
+    setting_spec{"upstream", "grants", &fleet_settings::grants, presence::optional},
     setting_spec{"store", "address", &fleet_settings::store, presence::required, true},
     setting_spec{"link", "bandwidth", &fleet_settings::link_megabits, presence::optional},
     setting_spec{"bounds", "drain", &fleet_settings::drain, presence::optional},
@@ -59,6 +61,12 @@
   return port && *port > 0 && *port <= port_max;
 }
 
+std::optional<claims::grant_transport> grant_transport_from(std::string_view text) {
+  if (text == "call") return claims::grant_transport::call;
+  if (text == "heartbeat") return claims::grant_transport::heartbeat;
+  return std::nullopt;
+}
+
 /// Parses `text` and stores the value. Returns an empty text, or the form of a valid value.
 std::string store_value(fleet_settings& settings, const setting_spec& spec,
                         const std::string& text) {
@@ -79,6 +87,8 @@
     return assign(*field, support::count_from(text), "write a whole number");
   if (const auto* field = std::get_if<double fleet_settings::*>(&spec.field))
     return assign(*field, support::number_from(text), "write a number");
+  if (const auto* field = std::get_if<claims::grant_transport fleet_settings::*>(&spec.field))
+    return assign(*field, grant_transport_from(text), "write call or heartbeat");
   return assign(std::get<std::chrono::milliseconds fleet_settings::*>(spec.field),
                 support::duration_from(text), "write a time such as 250ms or 3s");
 }
--- a/tests/fleet/settings_test.cpp
+++ b/tests/fleet/settings_test.cpp
@@ -65,6 +65,21 @@
   expect_true(settings && settings->drain == milliseconds{2'000}, reason.describe());
 }
 
+Test(fleet_settings, grants_go_by_calls_unless_heartbeats_are_chosen) {
+  failure reason;
+  const auto by_default = parse_fleet_settings("agent.ini", sample, reason);
+  expect_true(by_default->grants == claims::grant_transport::call);
+  const auto chosen = parse_fleet_settings(
+      "agent.ini", replaced("heartbeat = 870ms", "heartbeat = 870ms\ngrants = heartbeat"), reason);
+  expect_true(chosen && chosen->grants == claims::grant_transport::heartbeat, reason.describe());
+}
+
+Test(fleet_settings, an_unknown_way_to_grant_keys_is_refused) {
+  const auto error_text =
+      error_of(replaced("heartbeat = 870ms", "heartbeat = 870ms\ngrants = letter"));
+  expect_true(error_text.find("write call or heartbeat") != std::string::npos, error_text);
+}
+
 Test(fleet_settings, changed_settings_are_named) {
   failure reason;
   const auto before = *parse_fleet_settings("agent.ini", sample, reason);
--- a/tests/platform_adapter/documents_test.cpp
+++ b/tests/platform_adapter/documents_test.cpp
@@ -138,3 +138,57 @@
                R"({"fence":12,"from":4096,"hold_time":"4000ms","to":8191})");
   expect_equal(encode_release({4096, 8191}, 12), R"({"fence":12,"from":4096,"to":8191})");
 }
+
+namespace {
+
+std::string heartbeat_with(std::string_view keys) {
+  return replaced(heartbeat_json, "{", "{" + std::string(keys) + ",");
+}
+
+}  // namespace
+
+Test(heartbeat_keys, are_decoded_completely) {
+  failure reason;
+  const auto read = decode_heartbeat(
+      "i-1", heartbeat_with(R"("holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]])"), reason);
+  expect_true(read && read->keys, reason.describe());
+  expect_true(read->keys->held == std::vector<claims::held_keys>{{{0, 4'095}, 7}});
+  expect_true(read->keys->freed == std::vector<claims::freed_keys>{{{4'096, 8'191}, "5c0e"}});
+}
+
+Test(heartbeat_keys, are_absent_if_the_upstream_reports_none) {
+  failure reason;
+  expect_false(decode_heartbeat("i-1", heartbeat_json, reason)->keys.has_value());
+}
+
+Test(heartbeat_keys, that_are_malformed_make_the_heartbeat_unusable) {
+  for (const std::string_view keys :
+       {R"("holds":{})", R"("holds":[7])", R"("holds":[[0,1]])", R"("holds":[[0,1,2,3]])",
+        R"("holds":[["0",1,2]])", R"("holds":[[9,1,2]])", R"("holds":[[0,65536,2]])",
+        R"("holds":[[-1,5,2]])", R"("holds":[[0,5,-2]])", R"("holds":[[0,5,2.5]])",
+        R"("holds":[[0,5,99999999999999999999]])", R"("holds":[[0,5,null]])",
+        R"("holds":[],"freed":[[0,5,6]])", R"("holds":[],"freed":7)"}) {
+    failure reason;
+    expect_false(decode_heartbeat("i-1", heartbeat_with(keys), reason).has_value(), keys);
+    expect_false(reason.describe().empty(), keys);
+  }
+}
+
+Test(heartbeat_keys, with_too_many_rows_make_the_heartbeat_unusable) {
+  std::string rows = "[0,0,1]";
+  for (int i = 1; i < 10'000; ++i) rows += ",[0,0,1]";
+  failure reason;
+  expect_false(
+      decode_heartbeat("i-1", heartbeat_with("\"holds\":[" + rows + "]"), reason).has_value());
+}
+
+Test(heartbeat_answer, names_all_keys_and_the_hold) {
+  const claims::heartbeat_answer answer{.keys = {{{0, 4'095}, 7, ""}, {{9'000, 9'999}, 12, "7a"}},
+                                        .hold = milliseconds{4'000}};
+  expect_equal(encode_heartbeat_answer(answer),
+               R"({"hold_time":"4000ms","holds":[[0,4095,7,""],[9000,9999,12,"7a"]]})");
+}
+
+Test(heartbeat_answer, without_grants_names_no_keys) {
+  expect_equal(encode_heartbeat_answer(std::nullopt), "{}");
+}
