Soak: upstreams that take their keys with heartbeats

The stand-in reports held, worked-on and freed ranges, applies answers, loses about half of them under the fault delayed grants, and reports calls about keys and answers over 4 KiB as violations.

--- a/tests/process_soak/agents.h
+++ b/tests/process_soak/agents.h
@@ -23,8 +23,9 @@
   std::string zone;
   std::string region;
   std::string service;
-  endpoint upstream;  ///< Address of the proxy in front of the upstream.
-  endpoint store;     ///< Address of the proxy in front of the store.
+  std::string grants;  ///< How the upstream takes its keys: "call" or "heartbeat".
+  endpoint upstream;   ///< Address of the proxy in front of the upstream.
+  endpoint store;      ///< Address of the proxy in front of the store.
 
   [[nodiscard]] endpoint callers() const { return ip + ":7501"; }
   [[nodiscard]] endpoint readiness() const { return ip + ":7502"; }
@@ -44,7 +45,8 @@
            << "\nupstream = " << config_.upstream_listener()
            << "\npeer_port = 7504\nmetrics_port = 7505\n[upstream]\naddress = " << config_.upstream
            << "\nservice = " << config_.service
-           << "\nheartbeat = 300ms\n[store]\naddress = " << config_.store << "\n";
+           << "\nheartbeat = 300ms\ngrants = " << config_.grants
+           << "\n[store]\naddress = " << config_.store << "\n";
   }
   ~agent() { stop(SIGKILL); }
   agent(const agent&) = delete;
--- a/tests/process_soak/soak_run.h
+++ b/tests/process_soak/soak_run.h
@@ -23,6 +23,7 @@
   std::uint64_t seed = 1;
   std::chrono::seconds fault_duration{15};  ///< How long faults are injected.
   std::size_t agents = 6;
+  bool grants_by_heartbeat = false;  ///< Upstreams take their keys with answers to heartbeats.
   /// Second octet of all loopback addresses; must differ between parallel runs.
   std::uint64_t net = 0;
   std::filesystem::path directory;  ///< Receives the settings and logs of the agents.
@@ -107,21 +108,23 @@
                         .zone = "zone-" + std::to_string(i % 3),
                         .region = "region-" + std::to_string(i % 3),
                         .service = keyed ? "viewer" : "ledger",
+                        .grants = options_.grants_by_heartbeat ? "heartbeat" : "call",
                         .upstream = net(3) + number + ":7511",
                         .store = net(3) + number + ":7512"};
     const auto executor = context_.get_executor();
     upstream_proxies_.push_back(
         std::make_unique<proxy>(executor, config.upstream, upstream_address));
     store_proxies_.push_back(std::make_unique<proxy>(executor, config.store, store_address()));
-    upstreams_.push_back(
-        std::make_unique<upstream>(executor,
-                                   upstream_settings{.name = config.name,
-                                                     .service = config.service,
-                                                     .zone = config.zone,
-                                                     .address = upstream_address,
-                                                     .agent = config.upstream_listener(),
-                                                     .keyed = keyed},
-                                   checker_, options_.seed + i));
+    upstreams_.push_back(std::make_unique<upstream>(
+        executor,
+        upstream_settings{.name = config.name,
+                          .service = config.service,
+                          .zone = config.zone,
+                          .address = upstream_address,
+                          .agent = config.upstream_listener(),
+                          .keyed = keyed,
+                          .grants_by_heartbeat = options_.grants_by_heartbeat},
+        checker_, options_.seed + i));
     const auto* self = upstreams_.back().get();
     upstreams_.back()->set_fleet_queries(
         [this](claims::shard_key key) {
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   endpoint address;
   endpoint agent;  ///< Receives its heartbeats.
   bool keyed = false;
+  bool grants_by_heartbeat = false;  ///< Takes its keys with the answers to its heartbeats.
   std::size_t slots = 8;
 };
 
@@ -64,7 +66,7 @@
     sequence_ = 0;
     drain_acknowledged_at_.reset();
     draining_ = false;
-    grants_.clear();
+    forget_keys();
     server_ = std::make_unique<fleet::http_server>(
         executor_, [this](auto request) { receive(std::move(request)); });
     if (const auto why = server_->start(settings_.address); !why.empty())
@@ -74,12 +76,13 @@
   /// Ends without draining or notifying the agent.
   void crash() {
     server_.reset();
-    grants_.clear();
+    forget_keys();
     id_.clear();
   }
   /// Announces in all further heartbeats that it is draining.
   void drain() { draining_ = true; }
-  /// While set, about half of the key commands get no response and are applied 2 s to 6 s later.
+  /// While set, about half of the key commands get no response and are applied 2 s to 6 s later,
+  /// and about half of the answers to heartbeats are lost.
   void set_delayed_grants(bool delayed) { delays_grants_ = delayed; }
 
   [[nodiscard]] bool up() const { return server_ != nullptr; }
@@ -145,11 +148,15 @@
     }
     if (running_ >= settings_.slots) return refuse(503);
     ++running_;
+    const auto busy_key = settings_.keyed
+                              ? busy_keys_.insert(std::stoul(header(request, "X-Shard-Key")))
+                              : busy_keys_.end();
     checker_.request_started(id, settings_.name);
-    run_after(std::chrono::milliseconds{5 + random_() % 60}, [this, request, id,
+    run_after(std::chrono::milliseconds{5 + random_() % 60}, [this, request, id, busy_key,
                                                               incarnation = incarnation_] {
       --running_;
       if (!up() || incarnation != incarnation_) return;
+      if (settings_.keyed) busy_keys_.erase(busy_key);
       request->respond({.headers = "X-Request-Id: " + id + "\r\nX-Response-Signature: s." + id +
                                    "\r\nX-Server-Load: 1,0,8\r\n",
                         .text = "body of " + id});
@@ -158,6 +165,10 @@
 
   void handle_command(const request_ptr& request, const std::string& target) {
     const auto body = nlohmann::json::parse(request->body->buffered(), nullptr, false);
+    if (settings_.grants_by_heartbeat) {
+      checker_.report_violation(settings_.name + " got a key command instead of an answer");
+      return request->respond({.status = 404});
+    }
     if (body.is_discarded()) return request->respond({.status = 400});
     if (delays_grants_ && random_() % 2 == 0) {
       // Applied later, when the connection is already closed.
@@ -205,6 +216,84 @@
     return 200;
   }
 
+  void forget_keys() {
+    grants_.clear();
+    giving_up_.clear();
+    freed_.clear();
+    busy_keys_.clear();
+  }
+
+  [[nodiscard]] bool busy(const claims::key_range& keys) const {
+    const auto next = busy_keys_.lower_bound(keys.first);
+    return next != busy_keys_.end() && *next <= keys.last;
+  }
+
+  /// Adds the keys that are held, still worked on, and freed to a heartbeat.
+  void report_keys(nlohmann::json& heartbeat) {
+    const auto now = boot_now();
+    std::erase_if(giving_up_, [this](const grant& each) {
+      if (busy(each.keys)) return false;
+      freed_.push_back(each.keys);
+      return true;
+    });
+    auto holds = nlohmann::json::array();
+    for (const grant& each : grants_)
+      if (now < each.until) holds.push_back({each.keys.first, each.keys.last, each.fence});
+    for (const grant& each : giving_up_)
+      holds.push_back({each.keys.first, each.keys.last, each.fence});
+    auto freed = nlohmann::json::array();
+    for (const auto& each : freed_)
+      freed.push_back({each.first, each.last, "h" + std::to_string(sequence_)});
+    heartbeat["holds"] = std::move(holds);
+    heartbeat["freed"] = std::move(freed);
+  }
+
+  /// Takes the keys in the answer to a heartbeat that was sent at `sent`, and gives up all others.
+  void take_keys(const nlohmann::json& answer, time_point sent) {
+    if (!answer.contains("holds")) return;
+    constexpr std::size_t answer_bytes_max = 4'096;
+    if (answer.dump().size() > answer_bytes_max)
+      checker_.report_violation("an answer to a heartbeat exceeds 4 KiB");
+    const auto text = answer.at("hold_time").get<std::string>();
+    const auto until = sent + std::chrono::milliseconds{std::stoll(text) * 102 / 100};
+    std::vector<grant> next;
+    for (const auto& row : answer.at("holds")) {
+      const grant offered{{row.at(0), row.at(1)}, row.at(2), until};
+      const bool outdated = std::ranges::any_of(grants_, [&](const grant& each) {
+        return each.keys.overlaps(offered.keys) && each.fence > offered.fence;
+      });
+      if (outdated) continue;
+      if (highest_fence(offered.keys, false) < offered.fence) {
+        checker_.granted(offered.fence,
+                         std::max(highest_fence_(offered.keys), highest_fence(offered.keys, true)),
+                         settings_.name);
+        past_grants_.push_back({offered.keys, offered.fence, incarnation_});
+      }
+      next.push_back(offered);
+    }
+    for (const grant& each : grants_) give_up_rest(each, next);
+    grants_ = std::move(next);
+  }
+
+  /// Gives up the keys of `held` that `next` does not contain.
+  void give_up_rest(const grant& held, const std::vector<grant>& next) {
+    if (boot_now() >= held.until) return;
+    std::vector<claims::key_range> rest{held.keys};
+    for (const grant& each : next) {
+      std::vector<claims::key_range> remaining;
+      for (const auto& part : rest) {
+        if (!part.overlaps(each.keys)) {
+          remaining.push_back(part);
+          continue;
+        }
+        if (part.first < each.keys.first) remaining.push_back({part.first, each.keys.first - 1});
+        if (part.last > each.keys.last) remaining.push_back({each.keys.last + 1, part.last});
+      }
+      rest = std::move(remaining);
+    }
+    for (const auto& part : rest) giving_up_.push_back({part, held.fence, held.until});
+  }
+
   boost::asio::awaitable<void> send_heartbeats(int incarnation) {
     while (up() && incarnation == incarnation_) {
       fleet::exchange_request request;
@@ -212,19 +301,18 @@
                      "\r\nContent-Type: application/json\r\n";
       request.body = std::make_shared<fleet::body_pipe>();
       const bool draining = draining_;
-      request.body->append(nlohmann::json{
-          {"service", settings_.service},
-          {"address", settings_.address},
-          {"zone", settings_.zone},
-          {"version", "v1"},
-          {"capacity", settings_.slots},
-          {"state", draining ? "draining" : "ready"},
-          {"warmupLeft", "0ms"},
-          {"sequence", ++sequence_},
-          {"born",
-           started_ms_}}.dump());
+      nlohmann::json heartbeat{
+          {"service", settings_.service}, {"address", settings_.address},
+          {"zone", settings_.zone},       {"version", "v1"},
+          {"capacity", settings_.slots},  {"state", draining ? "draining" : "ready"},
+          {"warmupLeft", "0ms"},          {"sequence", ++sequence_},
+          {"born", started_ms_}};
+      const bool takes_keys = settings_.keyed && settings_.grants_by_heartbeat;
+      if (takes_keys) report_keys(heartbeat);
+      request.body->append(heartbeat.dump());
       request.body->finish();
-      request.deadline = boot_now() + std::chrono::seconds{1};
+      const auto sent = boot_now();
+      request.deadline = sent + std::chrono::seconds{1};
       fleet::cancellation never_cancelled;
       const auto exchange =
           co_await fleet::run_exchange(pool_, settings_.agent, std::move(request), never_cancelled);
@@ -232,7 +320,13 @@
           exchange.result == fleet::exchange_result::answered && exchange.status / 100 == 2;
       if (draining && acknowledged && incarnation == incarnation_ && !drain_acknowledged_at_)
         drain_acknowledged_at_ = boot_now();
-      boost::asio::steady_timer timer(executor_, std::chrono::milliseconds{300});
+      const bool lost = delays_grants_ && random_() % 2 == 0;
+      if (takes_keys && acknowledged && !lost && incarnation == incarnation_) {
+        freed_.clear();
+        take_keys(nlohmann::json::parse(exchange.body->buffered()), sent);
+      }
+      const std::chrono::milliseconds pause{giving_up_.empty() ? 300 : 100};
+      boost::asio::steady_timer timer(executor_, pause);
       co_await timer.async_wait(boost::asio::use_awaitable);
     }
   }
@@ -261,6 +355,9 @@
   std::size_t running_ = 0;
   std::vector<grant> grants_;
   std::vector<past_grant> past_grants_;
+  std::vector<grant> giving_up_;  ///< No new work; freed once their requests have ended.
+  std::vector<claims::key_range> freed_;
+  std::multiset<claims::shard_key> busy_keys_;
 };
 
 }  // namespace masticshunt::process_soak
