Pass on no request whose sender had left before it was read

Change: before a complete request is handed on, the session looks whether the connection has ended. Test: server::passes_on_no_request_whose_sender_had_left_before_it_was_read failed before.

--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -1,5 +1,7 @@
 #include "fleet/internal/http_server.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <cerrno>
 #include <charconv>
 #include <deque>
 #include <optional>
@@ -124,7 +127,11 @@
         if (error && error != http::error::need_more) {
           co_return refuse(error, request);
         }
-        if (parser.is_header_done() && !request) request = add_request(parser);
+        if (parser.is_header_done() && !request) {
+          // A busy process may read a request only after its sender has left.
+          if (parser.is_done() && buffer_.size() == 0 && peer_has_closed()) co_return false;
+          request = add_request(parser);
+        }
         if (parser.is_done()) break;
       }
       if (request && request->body->full()) co_await wait_for_space(*request->body);
@@ -147,6 +154,13 @@
     co_return socket_.is_open();
   }
 
+  /// Returns true if the end of the connection has arrived, and no bytes before it.
+  bool peer_has_closed() {
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   asio::awaitable<void> wait_for_space(body_pipe& body) {
     body.on_writable([self = weak_from_this()] {
       if (const auto alive = self.lock()) alive->space_timer_.cancel();
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -483,3 +483,21 @@
   const auto outcome = upload_to_late_reader(body_bytes, 5 * user_timeout, user_timeout);
   expect_true(outcome.result == exchange_result::answered, outcome.detail);
 }
+
+Test(server, passes_on_no_request_whose_sender_had_left_before_it_was_read) {
+  asio::io_context context;
+  int handled = 0;
+  http_server server(context.get_executor(), [&handled](const auto&) { ++handled; });
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto address = probe.local_endpoint();
+  probe.close();
+  expect_equal(server.start("127.0.0.1:" + std::to_string(address.port())), "");
+  {
+    tcp::socket sender(context);
+    sender.connect(address);
+    asio::write(sender, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  }
+  // The request and the end of the connection have arrived before the server reads either.
+  context.run_for(std::chrono::milliseconds{200});
+  expect_equal(handled, 0);
+}
