Let the store answer with registrations that are seconds old

The gates refuse what goes to a wrong place. A restarted agent still reads its own last registration fresh, as it may hold that it drains. The desired state and leases are read as before.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -115,7 +115,7 @@
 
 void agent_process::watch_store() {
   state_watch_ = std::make_unique<store_watch>(
-      store_, std::string(platform::kind_desired_state), duration{},
+      store_, std::string(platform::kind_desired_state), store_watch::reading{},
       store_watch::handlers{.listed =
                                 [this](const std::vector<platform::stored_object>& objects) {
                                   for (const auto& each : objects)
@@ -128,8 +128,15 @@
                                       change.object.name == platform::desired_state_name)
                                     update_state(change.object.spec, "store");
                                 }});
+  // Gates refuse what an ingress agent sends to the wrong place, so registrations may be seconds
+  // old. Only a restarted agent needs its own latest registration, which its first listing holds.
+  const auto first_listing =
+      settings_.first_start ? platform::freshness::seconds_old : platform::freshness::current;
   registration_watch_ = std::make_unique<store_watch>(
-      store_, std::string(platform::kind_registrations), registration_batching,
+      store_, std::string(platform::kind_registrations),
+      store_watch::reading{.first_listing = first_listing,
+                           .changes = platform::freshness::seconds_old,
+                           .batching = registration_batching},
       store_watch::handlers{
           .listed =
               [this](const std::vector<platform::stored_object>& objects) {
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -71,11 +71,12 @@
             "store_regained away_ms=" + std::to_string(outage.count()), now);
 }
 
-asio::awaitable<std::optional<platform::stored_page>> store_client::list(std::string kind) {
+asio::awaitable<std::optional<platform::stored_page>> store_client::list(std::string kind,
+                                                                         platform::freshness data) {
   platform::stored_page listing;
   std::string after;
   for (;;) {
-    const auto answer = co_await call(platform::list_objects(kind, after), list_timeout);
+    const auto answer = co_await call(platform::list_objects(kind, after, data), list_timeout);
     if (!answer.done()) co_return std::nullopt;
     failure reason;
     auto page = platform::decode_page(answer.body, reason);
@@ -92,10 +93,10 @@
   }
 }
 
-store_watch::store_watch(store_client& store, std::string kind, duration batching, handlers on)
+store_watch::store_watch(store_client& store, std::string kind, reading how, handlers on)
     : store_(store),
       kind_(std::move(kind)),
-      batching_(batching),
+      how_(how),
       on_(std::move(on)),
       pause_(store.executor()) {}
 
@@ -108,21 +109,23 @@
 asio::awaitable<void> store_watch::run() {
   duration pause = first_pause;
   std::optional<std::uint64_t> revision;
+  auto listing_data = how_.first_listing;
   for (;;) {
     if (!revision) {
-      auto listing = co_await store_.list(kind_);
+      auto listing = co_await store_.list(kind_, listing_data);
       if (!listing) {
         co_await wait(pause);
         pause = std::min(pause * 2, longest_pause);
         continue;
       }
       revision = listing->revision;
+      listing_data = how_.changes;
       on_.listed(listing->objects);
     }
     const auto answer = co_await store_.call(
         platform::watch_objects(
-            kind_, *revision,
-            std::chrono::duration_cast<std::chrono::milliseconds>(watch_duration)),
+            kind_, *revision, std::chrono::duration_cast<std::chrono::milliseconds>(watch_duration),
+            how_.changes),
         watch_duration + watch_slack);
     if (answer.verdict == platform::store_verdict::history_gone) {
       store_.log().line(support::line_class::process, "store_history_gone kind=" + kind_,
@@ -139,9 +142,10 @@
       continue;
     }
     pause = first_pause;
-    revision = changes->revision;
+    // An answer that may be old can state an earlier revision than the last one.
+    revision = std::max(*revision, changes->revision);
     std::ranges::for_each(changes->changes, on_.changed);
-    if (!changes->changes.empty() && batching_ > duration{}) co_await wait(batching_);
+    if (!changes->changes.empty() && how_.batching > duration{}) co_await wait(how_.batching);
   }
 }
 
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -42,7 +42,8 @@
   /// Sends a call. Does not retry.
   boost::asio::awaitable<store_answer> call(platform::call request, duration timeout);
   /// Returns all objects of a kind with the revision of the listing, or nothing on failure.
-  boost::asio::awaitable<std::optional<platform::stored_page>> list(std::string kind);
+  boost::asio::awaitable<std::optional<platform::stored_page>> list(std::string kind,
+                                                                    platform::freshness data);
 
   [[nodiscard]] const store_counts& counts() const { return counts_; }
   /// Returns true if the last call was answered and not refused.
@@ -71,7 +72,13 @@
     std::function<void(const std::vector<platform::stored_object>&)> listed;
     std::function<void(const platform::stored_change&)> changed;
   };
-  store_watch(store_client& store, std::string kind, duration batching, handlers on);
+  /// How the kind is read: its first listing, and everything after it.
+  struct reading {
+    platform::freshness first_listing = platform::freshness::current;
+    platform::freshness changes = platform::freshness::current;
+    duration batching{};  ///< Pause after changes, so that further ones arrive together.
+  };
+  store_watch(store_client& store, std::string kind, reading how, handlers on);
 
   /// Follows the kind for the lifetime of the process.
   boost::asio::awaitable<void> run();
@@ -83,7 +90,7 @@
 
   store_client& store_;
   std::string kind_;
-  duration batching_;
+  reading how_;
   handlers on_;
   boost::asio::steady_timer pause_;
 };
--- a/tests/platform_adapter/headers_test.cpp
+++ b/tests/platform_adapter/headers_test.cpp
@@ -68,8 +68,9 @@
 }
 
 Test(calls, use_the_paths_of_the_store) {
-  expect_equal(list_objects("servers", "i-1").target, "/-/objects/servers?after=i-1");
-  expect_equal(watch_objects("servers", 530, milliseconds{20'000}).target,
+  expect_equal(list_objects("servers", "i-1", freshness::current).target,
+               "/-/objects/servers?after=i-1");
+  expect_equal(watch_objects("servers", 530, milliseconds{20'000}, freshness::current).target,
                "/-/objects/servers?watch=530&waitMs=20000");
   expect_equal(delete_object("leases", "vm-1", 7).target, "/-/objects/leases/vm-1?revision=7");
 }
