Send claim maps as changes

Every reply and push carried the whole map, some 16 KB of claims, to 109 owners up to once in 1.2 s, and ingress agents fetched it after hints: more than the leader's link of 20 Mbit/s takes, so requests and the ends of connections queued behind for seconds. Change: claim_history remembers in which revision each claim last changed; replies, pushes and fetches carry the claims changed since the revision that the recipient knows. Owners state that they take changes, so that an older agent still gets whole maps.

--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -11,6 +11,7 @@
 #include "masticshunt/decisions/claims/answer_history.h"
 #include "masticshunt/decisions/claims/claim_map.h"
 #include "masticshunt/decisions/claims/heartbeat_keys.h"
+#include "masticshunt/decisions/claims/map_update.h"
 
 namespace masticshunt::claims {
 
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -119,23 +119,13 @@
   /// Incarnation of the leader whose replies this owner no longer accepts; zero: none.
   std::uint64_t rejected_incarnation = 0;
   duration lease_remaining{};  ///< Remaining time of the lease granted by replies.
+  bool takes_changes = false;  ///< Understands updates that are not complete maps.
   std::vector<released_range> released;
   std::vector<key_load> loads;
 
   bool operator==(const owner_report&) const = default;
 };
 
-/// The leader's reply to an owner report.
-struct leader_reply {
-  duration lease{};  ///< Runs from when the owner sent its report; zero if not renewed.
-  bool is_leader = false;
-  std::uint64_t leader_incarnation = 0;
-  std::optional<claim_map> map;  ///< Set if newer than the owner's map.
-  std::vector<released_range> to_release;
-
-  bool operator==(const leader_reply&) const = default;
-};
-
 /// Durations that guarantee at most one owner per key; docs/design/platform.md derives them.
 struct claim_timing {
   /// Lease granted by a leader's reply.
@@ -186,12 +176,8 @@
 /// @{
 std::string to_json_text(const claim_map& map);
 std::optional<claim_map> map_from_json_text(std::string_view text, failure& reason);
-std::string to_cbor_bytes(const claim_map& map);
-std::optional<claim_map> map_from_cbor_bytes(std::string_view bytes, failure& reason);
 std::string to_cbor_bytes(const owner_report& report);
 std::optional<owner_report> report_from_cbor_bytes(std::string_view bytes, failure& reason);
-std::string to_cbor_bytes(const leader_reply& reply);
-std::optional<leader_reply> reply_from_cbor_bytes(std::string_view bytes, failure& reason);
 /// @}
 
 }  // namespace masticshunt::claims
--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -37,7 +37,11 @@
 };
 /// Send the map to owners whose keys changed.
 struct push_map {
-  std::vector<endpoint> owners;
+  struct recipient {
+    endpoint address;
+    std::uint64_t since = 0;  ///< Revision of its map; zero: it needs the complete map.
+  };
+  std::vector<recipient> recipients;
 };
 /// A log line for operators.
 struct leader_log_event {
@@ -98,6 +102,10 @@
   /// Returns the newest stored map that was read, written or received; its revision is zero if
   /// there is none.
   [[nodiscard]] const claim_map& map() const { return map_; }
+  /// Returns the changes that lead from `revision` to `map`.
+  [[nodiscard]] map_update changes_since(std::uint64_t revision) const {
+    return history_.changes_since(map_, revision);
+  }
 
  private:
   struct owner_state {
@@ -168,8 +176,9 @@
                                                           time_point now) const;
   [[nodiscard]] double load_of(const key_range& keys) const;
   void add_owners_to_push(const std::vector<claim>& from, const std::vector<claim>& to);
-  [[nodiscard]] std::vector<endpoint> addresses_of(const std::set<std::string>& agents,
-                                                   time_point now) const;
+  [[nodiscard]] push_map push_to(const std::set<std::string>& agents, time_point now) const;
+  /// Returns the revision from which `owner` can be sent changes; zero if it needs the whole map.
+  [[nodiscard]] static std::uint64_t known_to(const owner_report& owner);
   void assign(claim& range, const std::string& agent, claim_map& next) const;
   [[nodiscard]] std::optional<std::string> planned_target(const key_range& keys) const;
 
@@ -183,6 +192,7 @@
   bool resigning_ = false;
 
   claim_map map_;
+  claim_history history_;
   bool map_existence_known_ = false;  ///< The store answered whether a map exists.
   time_point revision_since_{};
   time_point next_read_{};
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -128,7 +128,8 @@
     next_report_ = now + retry_after_failure;
     return;
   }
-  if (reply->map) map_seen(*reply->map, now);
+  if (reply->update)
+    if (const auto map = updated(map_, *reply->update)) map_seen(*map, now);
   if (reply->leader_incarnation != map_.leader_incarnation) return;
   if (reply->lease > duration{}) {
     lease_granted_ = true;
@@ -394,6 +395,7 @@
                       .map_revision = map_.revision,
                       .rejected_incarnation = rejected_incarnation_,
                       .lease_remaining = std::max(duration{}, lease_by_reply_ - now),
+                      .takes_changes = true,
                       .loads = loads_};
   for (const held_range& range : ranges_)
     if (range.state == range_state::released)
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "masticshunt/base/failure.h"
+#include "masticshunt/decisions/claims/map_update.h"
 
 namespace masticshunt::claims {
 
@@ -122,10 +123,25 @@
   map.next_fence = in.at("next_fence").get<std::uint64_t>();
   for (const json& each : in.at("claims"))
     map.claims.push_back(unpack_claim(each, in.at("holders")));
+  return map;
+}
+claim_map unpack_complete_map(const json& in) {
+  claim_map map = unpack_map(in);
   if (!map.covers_all()) throw std::out_of_range("claims do not cover every key once");
   return map;
 }
 
+json pack(const map_update& update) {
+  json out = pack(update.map);
+  if (update.since > 0) out["since"] = update.since;
+  return out;
+}
+map_update unpack_update(const json& in) {
+  const auto since = in.value("since", std::uint64_t{0});
+  if (since == 0) return {.map = unpack_complete_map(in)};
+  return {.since = since, .map = unpack_map(in)};
+}
+
 json pack(const std::vector<released_range>& ranges) {
   json out = json::array();
   for (const auto& each : ranges)
@@ -157,6 +173,7 @@
           {"rejected", report.rejected_incarnation},
           {"right_left_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.lease_remaining).count()},
+          {"changes", report.takes_changes},
           {"released", pack(report.released)},
           {"loads", std::move(loads)}};
 }
@@ -174,6 +191,7 @@
   report.map_revision = in.at("map").get<std::uint64_t>();
   report.rejected_incarnation = in.at("rejected").get<std::uint64_t>();
   report.lease_remaining = std::chrono::microseconds{in.at("right_left_us").get<std::int64_t>()};
+  report.takes_changes = in.value("changes", false);
   report.released = unpack_released(in.at("released"));
   for (const json& each : in.at("loads"))
     report.loads.push_back({unpack_range(each.at(0)), each.at(1).get<double>()});
@@ -185,7 +203,7 @@
            {"is_leader", reply.is_leader},
            {"life", reply.leader_incarnation},
            {"to_release", pack(reply.to_release)}};
-  if (reply.map) out["map"] = pack(*reply.map);
+  if (reply.update) out["map"] = pack(*reply.update);
   return out;
 }
 leader_reply unpack_reply(const json& in) {
@@ -194,7 +212,7 @@
   reply.is_leader = in.at("is_leader").get<bool>();
   reply.leader_incarnation = in.at("life").get<std::uint64_t>();
   reply.to_release = unpack_released(in.at("to_release"));
-  if (const auto map = in.find("map"); map != in.end()) reply.map = unpack_map(*map);
+  if (const auto map = in.find("map"); map != in.end()) reply.update = unpack_update(*map);
   return reply;
 }
 
@@ -221,14 +239,14 @@
 }
 std::optional<claim_map> map_from_json_text(std::string_view text, failure& reason) {
   return read<claim_map>(
-      "claim map", reason, [&] { return json::parse(text); }, unpack_map);
+      "claim map", reason, [&] { return json::parse(text); }, unpack_complete_map);
 }
-std::string to_cbor_bytes(const claim_map& map) {
-  return cbor_text(pack(map));
+std::string to_cbor_bytes(const map_update& update) {
+  return cbor_text(pack(update));
 }
-std::optional<claim_map> map_from_cbor_bytes(std::string_view bytes, failure& reason) {
-  return read<claim_map>(
-      "claim map", reason, [&] { return json::from_cbor(bytes); }, unpack_map);
+std::optional<map_update> update_from_cbor_bytes(std::string_view bytes, failure& reason) {
+  return read<map_update>(
+      "claim map", reason, [&] { return json::from_cbor(bytes); }, unpack_update);
 }
 std::string to_cbor_bytes(const owner_report& report) {
   return cbor_text(pack(report));
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -55,7 +55,7 @@
     holds_ ? lead(now, out) : seek_leadership(now, out);
   }
   if (holds_) suspect_owners(now, out);
-  if (!push_to_.empty()) out.emplace_back(push_map{addresses_of(std::exchange(push_to_, {}), now)});
+  if (!push_to_.empty()) out.emplace_back(push_to(std::exchange(push_to_, {}), now));
   for (auto& text : std::exchange(log_events_, {}))
     out.emplace_back(leader_log_event{std::move(text)});
   return out;
@@ -138,6 +138,7 @@
     add_owners_to_push(map_.claims, map.claims);
     add_owners_to_push(map.claims, map_.claims);
   }
+  history_.adopt(map_, map);
   map_ = map;
   revision_since_ = now;
   for (const claim& each : map_.claims) fence_since_.try_emplace(each.fence, now);
@@ -246,7 +247,7 @@
   const bool new_process = owner.agent_incarnation != report.agent_incarnation;
   if (predates_incarnation || (new_process && report.map_revision < map_.revision) ||
       (report.map_revision < map_.revision && now - owner.map_sent >= map_resend_interval)) {
-    reply.map = map_;
+    reply.update = changes_since(known_to(report));
     owner.map_sent = now;
   }
   const std::uint64_t registration = report.holder.registration;
@@ -377,13 +378,16 @@
   log_events_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\"");
 }
 
-std::vector<endpoint> leader::addresses_of(const std::set<std::string>& agents,
-                                           time_point now) const {
-  std::vector<endpoint> result;
+std::uint64_t leader::known_to(const owner_report& owner) {
+  return owner.takes_changes ? owner.map_revision : 0;
+}
+
+push_map leader::push_to(const std::set<std::string>& agents, time_point now) const {
+  push_map result;
   for (const auto& [agent, owner] : owners_)
     if (agents.contains(agent) && now - owner.last_report < timing_.owner_suspicion_timeout &&
         !owner.report.address.empty())
-      result.push_back(owner.report.address);
+      result.recipients.push_back({owner.report.address, known_to(owner.report)});
   return result;
 }
 
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -154,6 +154,25 @@
     found->second->map_seen(map, now);
 }
 
+void claims_driver::update_seen(const claims::map_update& update, time_point now) {
+  const auto* known = view_.find_map(update.map.service);
+  if (const auto map = claims::updated(known == nullptr ? claims::claim_map{} : *known, update))
+    map_seen(*map, now);
+  else
+    refresh_map(update.map.service);
+}
+
+std::optional<claims::map_update> claims_driver::changes_since(const std::string& service,
+                                                               std::uint64_t revision) const {
+  const auto* map = view_.find_map(service);
+  if (map == nullptr) return std::nullopt;
+  const auto found = leaders_.find(service);
+  const bool has_history =
+      found != leaders_.end() && found->second->map().revision >= map->revision;
+  if (has_history) return found->second->changes_since(revision);
+  return claims::map_update{.map = *map};
+}
+
 claims::leader_reply claims_driver::report_received(const claims::owner_report& report,
                                                     time_point now) {
   const auto found = leaders_.find(report.service);
@@ -218,7 +237,7 @@
   } else if (const auto* remove = std::get_if<claims::delete_owner_lease>(&action)) {
     start(delete_owner_lease(service, *remove));
   } else if (const auto* pushed = std::get_if<claims::push_map>(&action)) {
-    start(push(service, pushed->owners));
+    start(push(service, *pushed));
   } else if (const auto* text = std::get_if<claims::leader_log_event>(&action)) {
     log_event("leader service=" + service + " " + text->text);
   }
@@ -248,9 +267,10 @@
 
 asio::awaitable<exchange_outcome> claims_driver::call_peer(endpoint to, std::string method,
                                                            std::string target, std::string body,
-                                                           duration timeout) {
-  exchange_request request{.head = method + ' ' + target + " HTTP/1.1\r\nHost: " + to + "\r\n",
-                           .deadline = boot_now() + timeout};
+                                                           duration timeout, std::string headers) {
+  exchange_request request{
+      .head = method + ' ' + target + " HTTP/1.1\r\nHost: " + to + "\r\n" + headers,
+      .deadline = boot_now() + timeout};
   if (!body.empty()) {
     request.body = std::make_shared<body_pipe>();
     request.body->append(body);
@@ -274,9 +294,9 @@
       reply = claims::reply_from_cbor_bytes(exchange.body->buffered(), reason);
   }
   if (!holder_) co_return;
-  if (reply && reply->map) view_.update_map(*reply->map);
   const auto now = boot_now();
   holder_->leader_answered(reply, sent, now);
+  if (reply && reply->update) view_.update_map(holder_->map());
   if (!reply || !reply->is_leader) refresh_map(holder_service_);
   tick(now);
 }
@@ -410,13 +430,15 @@
   tick(boot_now());
 }
 
-asio::awaitable<void> claims_driver::push(std::string service, std::vector<endpoint> owners) {
-  const auto bytes = claims::to_cbor_bytes(leaders_.at(service)->map());
-  for (const auto& peer : owners) {
-    if (peer == settings_.peer_address()) continue;
+asio::awaitable<void> claims_driver::push(std::string service, claims::push_map pushed) {
+  std::map<std::uint64_t, std::string> encoded;  // By the revision that recipients know.
+  for (const auto& to : pushed.recipients) {
+    if (to.address == settings_.peer_address()) continue;
+    auto& bytes = encoded[to.since];
+    if (bytes.empty()) bytes = claims::to_cbor_bytes(leaders_.at(service)->changes_since(to.since));
     asio::co_spawn(
         executor_,
-        [this, peer, service, bytes]() -> asio::awaitable<void> {
+        [this, peer = to.address, service, bytes]() -> asio::awaitable<void> {
           co_await call_peer(peer, "POST", std::string(map_path) + service, bytes, peer_timeout);
         },
         asio::detached);
@@ -437,19 +459,25 @@
   const auto* cached = view_.find_map(service);
   if (cached != nullptr && !cached->leader_address.empty() &&
       cached->leader_address != settings_.peer_address()) {
-    auto exchange = co_await call_peer(cached->leader_address, "GET",
-                                       std::string(map_path) + service, {}, peer_timeout);
+    auto exchange = co_await call_peer(
+        cached->leader_address, "GET", std::string(map_path) + service, {}, peer_timeout,
+        std::string(map_known_header) + ": " + std::to_string(cached->revision) + "\r\n");
     if (exchange.result == exchange_result::answered && exchange.status == status_ok &&
         exchange.body->fully_buffered()) {
-      if (const auto map = claims::map_from_cbor_bytes(exchange.body->buffered(), reason)) {
+      const auto update = claims::update_from_cbor_bytes(exchange.body->buffered(), reason);
+      cached = view_.find_map(service);
+      if (const auto map = update ? claims::updated(*cached, *update) : std::nullopt) {
         map_seen(*map, boot_now());
         co_return;
       }
     }
   }
   refresh_after_[service] = boot_now() + 3 * refresh_interval;
-  const auto answer = co_await store_.call(platform::read_object(platform::kind_claims, service),
-                                           timing_.call_timeout);
+  // Without a map, any one shows the leader; after a failure of the leader only the newest will do.
+  const auto data =
+      cached == nullptr ? platform::freshness::seconds_old : platform::freshness::current;
+  const auto answer = co_await store_.call(
+      platform::read_object(platform::kind_claims, service, data), timing_.call_timeout);
   if (!answer.done()) co_return;
   const auto object = platform::decode_object(answer.body, reason);
   auto map = object ? claims::map_from_json_text(object->spec, reason) : std::nullopt;
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -45,6 +45,12 @@
                           const claims::reported_keys& keys, bool at_once, time_point now);
   /// Handles a claim map from the store or from a peer.
   void map_seen(const claims::claim_map& map, time_point now);
+  /// Handles an update of a claim map from a peer. Fetches the map if the update follows a newer
+  /// one than is known here.
+  void update_seen(const claims::map_update& update, time_point now);
+  /// Returns what changed in the map of `service` since `revision`, or nothing without a map.
+  [[nodiscard]] std::optional<claims::map_update> changes_since(const std::string& service,
+                                                                std::uint64_t revision) const;
   /// Handles the report of an owner. Returns the reply.
   claims::leader_reply report_received(const claims::owner_report& report, time_point now);
   /// Fetches a newer claim map of `service` from its leader, or else from the store.
@@ -69,12 +75,12 @@
   boost::asio::awaitable<void> read_owner_lease(std::string service, std::string agent);
   boost::asio::awaitable<void> delete_owner_lease(std::string service,
                                                   claims::delete_owner_lease request);
-  boost::asio::awaitable<void> push(std::string service, std::vector<endpoint> owners);
+  boost::asio::awaitable<void> push(std::string service, claims::push_map pushed);
   boost::asio::awaitable<void> refresh(std::string service);
   boost::asio::awaitable<exchange_outcome> call_upstream(platform::call call, duration timeout);
   boost::asio::awaitable<exchange_outcome> call_peer(endpoint to, std::string method,
                                                      std::string target, std::string body,
-                                                     duration timeout);
+                                                     duration timeout, std::string headers = {});
   void log_event(const std::string& text);
 
   boost::asio::any_io_executor executor_;
@@ -99,6 +105,8 @@
 /// @{
 inline constexpr std::string_view report_path = "/masticshunt/report";
 inline constexpr std::string_view map_path = "/masticshunt/map/";
+/// Header of a request for a map: the revision that the sender knows.
+inline constexpr std::string_view map_known_header = "Masticshunt-Map-Known";
 inline constexpr std::string_view state_path = "/masticshunt/state";
 inline constexpr std::string_view version_gossip_path = "/masticshunt/greeting/";
 /// @}
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -36,6 +36,14 @@
   return {text.data(), text.size()};
 }
 
+/// Returns the revision of the map that the sender of a request for a map knows; zero if none.
+std::uint64_t known_map(const request_head& head) {
+  const auto found =
+      head.find(boost::beast::string_view(map_known_header.data(), map_known_header.size()));
+  if (found == head.end()) return 0;
+  return support::count_from(text_of(found->value())).value_or(0);
+}
+
 }  // namespace
 
 peer_service::peer_service(const asio::any_io_executor& executor, const fleet_settings& settings,
@@ -118,11 +126,11 @@
   } else if (target.starts_with(map_path)) {
     const std::string service = target.substr(map_path.size());
     if (request->head.method() == boost::beast::http::verb::post) {
-      if (const auto map = claims::map_from_cbor_bytes(body, reason))
-        claims_.map_seen(*map, boot_now());
+      if (const auto update = claims::update_from_cbor_bytes(body, reason))
+        claims_.update_seen(*update, boot_now());
       request->respond({});
-    } else if (const auto* map = view_.find_map(service)) {
-      request->respond({.text = claims::to_cbor_bytes(*map)});
+    } else if (const auto update = claims_.changes_since(service, known_map(request->head))) {
+      request->respond({.text = claims::to_cbor_bytes(*update)});
     } else {
       request->respond({.status = status_not_found});
     }
--- a/tests/decisions/claims/claim_map_test.cpp
+++ b/tests/decisions/claims/claim_map_test.cpp
@@ -1,6 +1,5 @@
-#include "masticshunt/decisions/claims/claim_map.h"
-
 #include "expect.h"
+#include "masticshunt/decisions/claims/map_update.h"
 
 using namespace masticshunt;
 using namespace masticshunt::claims;
@@ -66,8 +65,8 @@
 
 Test(claim_map, a_map_survives_a_cbor_round_trip) {
   failure reason;
-  const auto read = map_from_cbor_bytes(to_cbor_bytes(sample()), reason);
-  expect_true(read && *read == sample(), reason.describe());
+  const auto read = update_from_cbor_bytes(to_cbor_bytes(map_update{.map = sample()}), reason);
+  expect_true(read && read->map == sample(), reason.describe());
 }
 
 Test(claim_map, a_map_with_a_gap_is_refused_with_a_reason) {
@@ -80,7 +79,7 @@
 
 Test(claim_map, malformed_bytes_are_refused) {
   failure reason;
-  expect_false(map_from_cbor_bytes("\xff\x00nonsense", reason).has_value());
+  expect_false(update_from_cbor_bytes("\xff\x00nonsense", reason).has_value());
   expect_false(map_from_json_text("{\"service\":7}", reason).has_value());
 }
 
@@ -102,7 +101,7 @@
   const leader_reply reply{.lease = std::chrono::seconds{2},
                            .is_leader = true,
                            .leader_incarnation = 99,
-                           .map = sample(),
+                           .update = map_update{.map = sample()},
                            .to_release = {{{1, 2}, 3, ""}}};
   failure reason;
   expect_true(report_from_cbor_bytes(to_cbor_bytes(report), reason) == report, reason.describe());
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -122,7 +122,7 @@
   for (int i = 0; i < 60; ++i, fixture.now += milliseconds{100}) {
     auto report = fixture.report("vm-1");
     report.map_revision = fixture.stored.revision - 1;  // The owner never applies a map.
-    maps += fixture.service_leader.report_received(report, fixture.now).map ? 1 : 0;
+    maps += fixture.service_leader.report_received(report, fixture.now).update ? 1 : 0;
     fixture.service_leader.report_received(fixture.report("vm-2"), fixture.now);
     fixture.tick();
   }
@@ -134,8 +134,8 @@
   fixture.run_with({"vm-1"}, seconds{6});
   auto report = fixture.report("vm-1");
   report.map_revision = 0;
-  expect_true(fixture.service_leader.report_received(report, fixture.now).map.has_value());
-  expect_true(fixture.service_leader.report_received(report, fixture.now).map.has_value());
+  expect_true(fixture.service_leader.report_received(report, fixture.now).update.has_value());
+  expect_true(fixture.service_leader.report_received(report, fixture.now).update.has_value());
 }
 
 Test(leader, an_unanswered_write_counts_once_it_is_read_back) {
@@ -306,7 +306,7 @@
   fixture.service_leader.report_received(report, fixture.now);
   report.agent_incarnation = 2;
   const auto reply = fixture.service_leader.report_received(report, fixture.now);
-  expect_true(reply.map && reply.map->revision == fixture.stored.revision);
+  expect_true(reply.update && reply.update->map.revision == fixture.stored.revision);
 }
 
 Test(leader, a_resigning_leader_grants_no_leases) {
