Refuse odd documents of the store without ending or hiding the others

Cause, a report of other operators that could happen here: a spec nested a million levels deep overran the stack when it was written out again, which ended every agent that read the list; one number beyond a double, or one object without a name, made a whole page or watch unreadable; ports out of range, a fraction or a wrapped number as slots, a negative sequence and an unknown stage were taken. Tests, each failed before (one with a crash): foreign_documents::that_are_nested_very_deeply_are_refused and one_odd_object_hides_none_of_the_others, registration::with_a_value_out_of_range_is_refused and of_an_unknown_stage_is_refused.

--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -56,6 +56,13 @@
   co_return answer;
 }
 
+void store_client::log_unreadable(const std::string& kind,
+                                  const std::vector<std::string>& reasons) {
+  for (const auto& why : reasons)
+    log_.line(support::line_class::process,
+              "store_object_unreadable kind=" + kind + " why=\"" + why + "\"", boot_now());
+}
+
 void store_client::set_reached(bool reached, const std::string& why) {
   const auto now = boot_now();
   if (reached == !unreachable_since_) return;
@@ -86,6 +93,7 @@
                 boot_now());
       co_return std::nullopt;
     }
+    log_unreadable(kind, page->unreadable);
     if (listing.revision == 0) listing.revision = page->revision;
     if (!page->objects.empty()) after = page->objects.back().name;
     std::ranges::move(page->objects, std::back_inserter(listing.objects));
@@ -144,6 +152,7 @@
     pause = first_pause;
     // An answer that may be old can state an earlier revision than the last one.
     revision = std::max(*revision, changes->revision);
+    store_.log_unreadable(kind_, changes->unreadable);
     std::ranges::for_each(changes->changes, on_.changed);
     if (!changes->changes.empty() && how_.batching > duration{}) co_await wait(how_.batching);
   }
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -51,6 +51,8 @@
   void sweep(time_point now) { pool_.sweep(now); }
   [[nodiscard]] const boost::asio::any_io_executor& executor() const { return pool_.executor(); }
   [[nodiscard]] support::event_log& log() { return log_; }
+  /// Logs why objects of `kind` were left out.
+  void log_unreadable(const std::string& kind, const std::vector<std::string>& reasons);
 
  private:
   void set_reached(bool reached, const std::string& why);
--- a/tests/platform_adapter/documents_test.cpp
+++ b/tests/platform_adapter/documents_test.cpp
@@ -192,3 +192,73 @@
 Test(heartbeat_answer, without_grants_names_no_keys) {
   expect_equal(encode_heartbeat_answer(std::nullopt), "{}");
 }
+
+namespace {
+
+/// Returns `levels` arrays, each within the next.
+std::string nested(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+constexpr std::size_t far_too_deep = 1'000'000;
+
+}  // namespace
+
+Test(foreign_documents, that_are_nested_very_deeply_are_refused) {
+  failure reason;
+  const std::string metadata = R"("metadata":{"name":"vm-1","revision":7})";
+  const std::string object = "{" + metadata + R"(,"spec":)" + nested(far_too_deep) + "}";
+  expect_false(decode_object(object, reason).has_value());
+  expect_false(reason.describe().empty());
+  expect_true(decode_page(R"({"at":9,"items":[)" + object + "]}", reason)->objects.empty());
+  const auto changes = decode_changes(R"({"at":9,"events":[{"object":)" + object + "}]}", reason);
+  expect_true(changes->changes.empty());
+  expect_equal(changes->unreadable.size(), 1U);
+  expect_false(decode_desired_state(nested(far_too_deep), reason).has_value());
+  expect_false(decode_registration("vm-1", nested(far_too_deep), reason).has_value());
+  expect_false(decode_heartbeat("i-1", nested(far_too_deep), reason).has_value());
+}
+
+Test(foreign_documents, one_odd_object_hides_none_of_the_others) {
+  const std::string good =
+      R"({"metadata":{"name":"vm-2","revision":8},"spec":{"address":"10.0.0.2:7600"}})";
+  failure reason;
+  for (const std::string& odd :
+       {R"({"metadata":{"name":"vm-1","revision":7},"spec":)" + nested(100) + "}",
+        std::string(R"({"metadata":{"name":"vm-1","revision":1e400},"spec":{}})"),
+        std::string(R"({"metadata":{"name":7,"revision":7},"spec":{}})"), std::string("7"),
+        std::string(R"({"metadata":{"name":"vm-1","revision":-1},"spec":{}})")}) {
+    const auto page = decode_page(R"({"at":9,"items":[)" + odd + "," + good + "]}", reason);
+    expect_true(page.has_value(), odd.substr(0, 60) + " " + reason.describe().substr(0, 200));
+    expect_equal(page->objects.back().name, "vm-2", odd.substr(0, 60));
+    const auto changes = decode_changes(
+        R"({"at":9,"events":[{"object":)" + odd + R"(},{"object":)" + good + "}]}", reason);
+    expect_true(changes && changes->changes.back().object.name == "vm-2", odd.substr(0, 60));
+  }
+}
+
+Test(registration, with_a_value_out_of_range_is_refused) {
+  const auto text = [](std::string_view address, std::string_view slots) {
+    return R"({"address":")" + std::string(address) +
+           R"(","zone":"z","region":"r","service":"s","upstream":"i-1","born":5,)"
+           R"("stage":"ready","slots":)" +
+           std::string(slots) + "}";
+  };
+  failure reason;
+  expect_true(decode_registration("vm-1", text("10.0.0.1:7600", "9"), reason).has_value());
+  for (const std::string_view address : {"10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1", "", "a:b"})
+    expect_false(decode_registration("vm-1", text(address, "9"), reason).has_value(), address);
+  for (const std::string_view slots : {"0", "-1", "99999999999999999999", "1e300", "2.5", "null"})
+    expect_false(decode_registration("vm-1", text("10.0.0.1:7600", slots), reason).has_value(),
+                 slots);
+}
+
+Test(registration, of_an_unknown_stage_is_refused) {
+  failure reason;
+  expect_false(
+      decode_registration("vm-1",
+                          R"({"address":"10.0.0.1:7600","zone":"z","region":"r","service":"s",)"
+                          R"("upstream":"i-1","born":5,"stage":"asleep","slots":9})",
+                          reason)
+          .has_value());
+}
