Put the reloaded bounds of a fleet agent in force

Cause: SIGHUP logged all bounds as changed, and docs/SETTINGS.md said they were in force, but only grace was: the gate and the retry budget kept what they had copied at the start. Change: drain, repeat_ratio and repeat_slack count at once; the log line names what waits for the next start (addresses, hold_max, repeat_window). Test: retry_budget::a_changed_bound_counts_at_once_for_the_requests_of_the_window. The reload of the process itself is played by process_soak, which checks no bound of it.

--- a/include/masticshunt/decisions/requests/retry_budget.h
+++ b/include/masticshunt/decisions/requests/retry_budget.h
@@ -30,6 +30,8 @@
  public:
   explicit retry_budget(retry_budget_settings settings) : settings_(settings) {}
 
+  /// Changes the bound for retries from now on.
+  void set_bound(double ratio, double slack);
   /// Records a request of a caller for `service`.
   void record_request(std::string_view service, time_point now);
   /// Takes one retry for `service` from the budget. Returns false if the budget is exhausted.
--- a/src/decisions/requests/retry_budget.cpp
+++ b/src/decisions/requests/retry_budget.cpp
@@ -22,6 +22,11 @@
   return current;
 }
 
+void retry_budget::set_bound(double ratio, double slack) {
+  settings_.ratio = ratio;
+  settings_.slack = slack;
+}
+
 void retry_budget::record_request(std::string_view service, time_point now) {
   counts& current = advance(service, now);
   ++current.requests[static_cast<std::size_t>(current.newest_bucket % std::int64_t{bucket_count})];
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -273,14 +273,15 @@
     log_event("reload_refused why=\"" + reason.describe() + "\"");
     return;
   }
-  log_event("reload changed=" + changed_settings(settings_, *reloaded));
-  // Addresses remain as bound at start. Of the bounds, only `grace` takes effect at once: the gate,
-  // the claims driver and the retry budget keep the values that they copied at start.
+  const auto changed = changed_settings(settings_, *reloaded);
   settings_.drain = reloaded->drain;
   settings_.grace = reloaded->grace;
-  settings_.hold_max = reloaded->hold_max;
   settings_.repeat_ratio = reloaded->repeat_ratio;
   settings_.repeat_slack = reloaded->repeat_slack;
+  gate_.set_drain(settings_.drain);
+  ingress_.set_retry_bound(settings_.repeat_ratio, settings_.repeat_slack);
+  log_event("reload changed=" + changed +
+            " from_next_start=" + changed_settings(settings_, *reloaded));
 }
 
 void agent_process::begin_shutdown() {
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -57,6 +57,8 @@
                        const std::string& service, std::uint32_t slots);
   /// Sets the start of draining, or nothing if the upstream is not draining.
   void set_draining_since(std::optional<time_point> when) { draining_since_ = when; }
+  /// Sets how long requests may be sent after draining starts.
+  void set_drain(duration drain) { settings_.drain = drain; }
   /// From now on refuses new requests and those that have not started.
   void stop() { stopping_ = true; }
   /// Sets the claim holder; null if the service is not sharded by key.
--- a/src/fleet/internal/ingress.h
+++ b/src/fleet/internal/ingress.h
@@ -36,6 +36,8 @@
 
   /// Answers a caller's request.
   void handle(std::shared_ptr<server_request> request);
+  /// Changes the bound of retries, for all agents together.
+  void set_retry_bound(double ratio, double slack) { budget_.set_bound(ratio, slack); }
 
  private:
   struct request_state;
--- a/tests/decisions/requests/retry_budget_test.cpp
+++ b/tests/decisions/requests/retry_budget_test.cpp
@@ -31,6 +31,15 @@
   expect_equal(taken, 23);
 }
 
+Test(retry_budget, a_changed_bound_counts_at_once_for_the_requests_of_the_window) {
+  retry_budget budget(bounds);
+  for (int i = 0; i < 100; ++i) budget.record_request("ledger", start);
+  budget.set_bound(0.05, 20);
+  int taken = 0;
+  while (budget.take("ledger", 20, start)) ++taken;
+  expect_equal(taken, 6);
+}
+
 Test(retry_budget, requests_older_than_the_window_earn_nothing) {
   retry_budget budget(bounds);
   for (int i = 0; i < 100; ++i) budget.record_request("ledger", start);
