--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -184,6 +184,13 @@
     key_range keys;
     std::uint64_t fence = 0;
   };
+  struct answer_size {
+    std::size_t bytes = 0;
+    std::size_t ranges_left_out = 0;  ///< They did not fit.
+  };
+  /// Adds a range to the answer, joined to the last one if it continues it. Returns false if it
+  /// does not fit.
+  static bool append_range(const held_range& range, heartbeat_answer& answer, answer_size& size);
   void split_ranges(const key_range& keys);
   void reconcile(time_point now);
   void start_release(const key_range& keys, std::uint64_t fence, time_point now);
--- a/src/agent/internal/connection_pool.cpp
+++ b/src/agent/internal/connection_pool.cpp
@@ -102,16 +102,16 @@
   if (chunks_.size() < settings_.idle_chunks_max) chunks_.push_back(std::move(chunk));
 }
 
-void connection_pool::bear_stalls(http_connection& connection, time_point deadline) {
+void connection_pool::allow_stalls(http_connection& connection, time_point deadline) {
   const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline - boot_now());
   if (remaining <= settings_.tcp_user_timeout) return;
   support::set_user_timeout(connection.socket, remaining);
-  connection.bears_stalls = true;
+  connection.allows_stalls = true;
 }
 
 void connection_pool::release(std::unique_ptr<http_connection> connection) {
-  if (std::exchange(connection->bears_stalls, false))
+  if (std::exchange(connection->allows_stalls, false))
     support::set_user_timeout(connection->socket, settings_.tcp_user_timeout);
   auto& connections = idle_[connection->peer];
   connection->last_used = boot_now();
--- a/src/agent/internal/connection_pool.h
+++ b/src/agent/internal/connection_pool.h
@@ -25,8 +25,8 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   endpoint peer;
-  bool reused = false;        ///< True if it has already carried an exchange.
-  bool bears_stalls = false;  ///< Its user timeout lasts until the deadline of its exchange.
+  bool reused = false;         ///< True if it has already carried an exchange.
+  bool allows_stalls = false;  ///< Its user timeout lasts until the deadline of its exchange.
   time_point last_used{};
 };
 
@@ -58,7 +58,7 @@
   void release(std::unique_ptr<http_connection> connection);
 
   /// Keeps the connection until `deadline` although the peer reads nothing; ends with `release`.
-  void bear_stalls(http_connection& connection, time_point deadline);
+  void allow_stalls(http_connection& connection, time_point deadline);
 
   /// Returns a buffer with unspecified content.
   std::unique_ptr<body_chunk> acquire_chunk();
--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -164,9 +164,9 @@
   state->end.reused_connection = state->connection->reused;
   // The time for a first byte begins once a body of any length has been sent.
   const bool streams_body = !caller.body_complete;
-  state->watchdog.arm(
-      socket, streams_body ? plan.deadline : first_byte_deadline(plan, *state->connection));
-  if (streams_body) pool_.bear_stalls(*state->connection, plan.deadline);
+  state->watchdog.arm(socket,
+                      streams_body ? plan.deadline : first_byte_deadline(plan, *state->connection));
+  if (streams_body) pool_.allow_stalls(*state->connection, plan.deadline);
   if (plan.on_cancellable) {
     plan.on_cancellable([&socket] {
       boost::system::error_code ignored;
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -3,22 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "decisions/claims/internal/claim_helpers.h"
+
 namespace masticshunt::claims {
 
 namespace {
 
-constexpr duration shortest_hold = std::chrono::milliseconds{300};
 constexpr duration retry_after_failure = std::chrono::milliseconds{150};
 
-duration scaled(duration span, double factor) {
-  return duration{static_cast<duration::rep>(static_cast<double>(span.count()) * factor)};
-}
-
-std::string text_of(const key_range& keys, std::uint64_t fence) {
-  return "keys=" + std::to_string(keys.first) + "-" + std::to_string(keys.last) +
-         " fence=" + std::to_string(fence);
-}
-
 }  // namespace
 
 claim_holder::claim_holder(std::string service, std::string agent, endpoint address,
--- a/src/decisions/claims/heartbeat_grants.cpp
+++ b/src/decisions/claims/heartbeat_grants.cpp
@@ -2,13 +2,13 @@
 #include <algorithm>
 #include <numeric>
 
+#include "decisions/claims/internal/claim_helpers.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 
 namespace masticshunt::claims {
 
 namespace {
 
-constexpr std::chrono::milliseconds shortest_hold{300};
 /// Bytes of an answer's body; an upstream ignores larger answers.
 constexpr std::size_t answer_bytes_max = 3'800;
 /// Bytes of a granted range, with the longest fence and without the handover.
@@ -16,20 +16,11 @@
 /// Answers in a row that an upstream may ignore before it counts as knowing a newer fence.
 constexpr std::uint32_t rejections_max = 3;
 
-duration scaled(duration span, double factor) {
-  return duration{static_cast<duration::rep>(static_cast<double>(span.count()) * factor)};
-}
-
 std::uint64_t common_keys(const key_range& one, const key_range& other) {
   if (!one.overlaps(other)) return 0;
   return std::uint64_t{std::min(one.last, other.last)} - std::max(one.first, other.first) + 1;
 }
 
-std::string text_of(const key_range& keys, std::uint64_t fence) {
-  return "keys=" + std::to_string(keys.first) + "-" + std::to_string(keys.last) +
-         " fence=" + std::to_string(fence);
-}
-
 }  // namespace
 
 bool reported_keys::holds_any(const key_range& keys) const {
@@ -120,25 +111,10 @@
     return std::nullopt;
   heartbeat_answer answer{.hold = std::chrono::floor<std::chrono::milliseconds>(hold)};
   const auto number = answers_.sent(connection, arrived);
-  std::size_t bytes = 0;
-  std::size_t left_out = 0;
+  answer_size size;
   std::size_t fresh = 0;
   for (held_range& range : ranges_) {
-    if (range.state != range_state::held) continue;
-    const auto handover = range.confirmed ? std::string{} : range.handover;
-    const bool joins = !answer.keys.empty() && answer.keys.back().fence == range.fence &&
-                       answer.keys.back().keys.last + 1 == range.keys.first && handover.empty() &&
-                       answer.keys.back().handover.empty();
-    const std::size_t more = joins ? 0 : range_bytes + handover.size();
-    if (bytes + more > answer_bytes_max) {
-      ++left_out;
-      continue;
-    }
-    bytes += more;
-    if (joins)
-      answer.keys.back().keys.last = range.keys.last;
-    else
-      answer.keys.push_back({range.keys, range.fence, handover});
+    if (range.state != range_state::held || !append_range(range, answer, size)) continue;
     if (now >= range.usable_until) ++fresh;
     range.last_answer = number;
     range.answered_fence = range.fence;
@@ -150,14 +126,36 @@
   const bool released = std::ranges::any_of(ranges_, [number](const held_range& range) {
     return range.state == range_state::releasing && range.last_answer + 1 == number;
   });
-  if (fresh > 0 || released || left_out > 0)
+  if (fresh > 0 || released || size.ranges_left_out > 0)
     log_events_.push_back(
         "granted by=heartbeat ranges=" + std::to_string(answer.keys.size()) +
-        " fresh=" + std::to_string(fresh) + " left_out=" + std::to_string(left_out) + " bytes=" +
-        std::to_string(bytes) + " hold_ms=" + std::to_string(answer.hold.count()) + " waited_ms=" +
+        " fresh=" + std::to_string(fresh) + " left_out=" + std::to_string(size.ranges_left_out) +
+        " bytes=" + std::to_string(size.bytes) + " hold_ms=" + std::to_string(answer.hold.count()) +
+        " waited_ms=" +
         std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(now - arrived).count()));
   return answer;
 }
 
+bool claim_holder::append_range(const held_range& range, heartbeat_answer& answer,
+                                answer_size& size) {
+  const auto handover = range.confirmed ? std::string{} : range.handover;
+  auto& rows = answer.keys;
+  const bool joins = !rows.empty() && rows.back().fence == range.fence &&
+                     rows.back().keys.last + 1 == range.keys.first && handover.empty() &&
+                     rows.back().handover.empty();
+  if (joins) {
+    rows.back().keys.last = range.keys.last;
+    return true;
+  }
+  const std::size_t row_bytes = range_bytes + handover.size();
+  if (size.bytes + row_bytes > answer_bytes_max) {
+    ++size.ranges_left_out;
+    return false;
+  }
+  size.bytes += row_bytes;
+  rows.push_back({range.keys, range.fence, handover});
+  return true;
+}
+
 }  // namespace masticshunt::claims
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -226,18 +226,18 @@
   co_return connection;
 }
 
-void connection_pool::bear_stalls(client_connection& connection, time_point deadline) {
+void connection_pool::allow_stalls(client_connection& connection, time_point deadline) {
   const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline - boot_now());
   const auto usual = std::chrono::duration_cast<std::chrono::milliseconds>(limits_.user_timeout);
   if (remaining <= usual) return;
   support::set_user_timeout(connection.socket, remaining);
-  connection.bears_stalls = true;
+  connection.allows_stalls = true;
 }
 
 void connection_pool::release(connection_ptr connection) {
   if (!connection->socket.is_open()) return;
-  if (std::exchange(connection->bears_stalls, false))
+  if (std::exchange(connection->allows_stalls, false))
     support::set_user_timeout(
         connection->socket,
         std::chrono::duration_cast<std::chrono::milliseconds>(limits_.user_timeout));
@@ -326,7 +326,7 @@
   }
   if (body_follows) {
     *sent = false;
-    pool.bear_stalls(*connection, request.deadline);
+    pool.allow_stalls(*connection, request.deadline);
     asio::co_spawn(connection->socket.get_executor(), send_body(connection, request.body, sent),
                    asio::detached);
   }
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -30,7 +30,7 @@
   std::uint32_t uses = 0;
   time_point idle_since{};
   duration idle_limit{};
-  bool bears_stalls = false;  ///< Its user timeout lasts until the deadline of its exchange.
+  bool allows_stalls = false;  ///< Its user timeout lasts until the deadline of its exchange.
 };
 using connection_ptr = std::shared_ptr<client_connection>;
 
@@ -57,7 +57,7 @@
   /// Returns a connection to the pool after a complete exchange.
   void release(connection_ptr connection);
   /// Keeps the connection until `deadline` although the peer reads nothing; ends with `release`.
-  void bear_stalls(client_connection& connection, time_point deadline);
+  void allow_stalls(client_connection& connection, time_point deadline);
   /// Closes connections that have been idle for too long.
   void sweep(time_point now);
   /// Closes the idle connections to `to`.
--- a/tests/agent/connection_pool_test.cpp
+++ b/tests/agent/connection_pool_test.cpp
@@ -34,7 +34,7 @@
 }
 
 /// Sends `body_bytes` to a peer that reads them late. Returns the error of the sending.
-boost::system::error_code send_to_late_reader(bool bears_stalls) {
+boost::system::error_code send_to_late_reader(bool allows_stalls) {
   asio::io_context context;
   tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   connection_pool pool(context, {.tcp_user_timeout = user_timeout});
@@ -42,7 +42,7 @@
   const auto send = [&]() -> asio::awaitable<void> {
     const auto connection = co_await pool.acquire(
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), true);
-    if (bears_stalls) pool.bear_stalls(*connection, boot_now() + std::chrono::seconds{20});
+    if (allows_stalls) pool.allow_stalls(*connection, boot_now() + std::chrono::seconds{20});
     co_await asio::async_write(connection->socket, asio::buffer(std::string(body_bytes, 'b')),
                                asio::redirect_error(asio::use_awaitable, error));
   };
@@ -58,7 +58,7 @@
   expect_true(static_cast<bool>(send_to_late_reader(false)));
 }
 
-Test(agent_connection_pool, a_connection_that_bears_stalls_lasts_until_the_peer_reads_again) {
+Test(agent_connection_pool, a_connection_that_allows_stalls_lasts_until_the_peer_reads_again) {
   const auto error = send_to_late_reader(true);
   expect_false(static_cast<bool>(error), error.message());
 }
