--- a/tests/decisions/claims/heartbeat_model.h
+++ b/tests/decisions/claims/heartbeat_model.h
@@ -177,7 +177,8 @@
         if (range.keys.overlaps(moved_keys)) released_ = true;
       claims::leader_reply reply{
           .lease = claims::claim_timing{}.reply_lease, .is_leader = true, .leader_incarnation = 1};
-      if (broken_ != broken_rule::old_map_after_a_restart) reply.update = claims::map_update{.map = map()};
+      if (broken_ != broken_rule::old_map_after_a_restart)
+        reply.update = claims::map_update{.map = map()};
       if (release_ordered_ && !released_) reply.to_release.push_back({moved_keys, first_fence, ""});
       lease_until_ = now_ + reply.lease;
       holder_.leader_answered(reply, now_, now_);
