--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -58,9 +58,11 @@
 
 void store_client::log_unreadable(const std::string& kind,
                                   const std::vector<std::string>& reasons) {
-  for (const auto& why : reasons)
-    log_.line(support::line_class::process,
-              "store_object_unreadable kind=" + kind + " why=\"" + why + "\"", boot_now());
+  for (const auto& why : reasons) {
+    support::event_text line("store_object_unreadable");
+    line.add("kind", kind).add_quoted("why", why);
+    log_.line(support::line_class::process, line.text(), boot_now());
+  }
 }
 
 void store_client::set_reached(bool reached, const std::string& why) {
