--- a/tests/platform_adapter/documents_test.cpp
+++ b/tests/platform_adapter/documents_test.cpp
@@ -262,3 +262,15 @@
                           reason)
           .has_value());
 }
+
+Test(foreign_documents, of_any_length_give_short_reasons) {
+  const std::string megabyte(1'000'000, 'x');
+  failure reason;
+  expect_false(decode_registration("vm-1",
+                                   R"({"address":")" + megabyte +
+                                       R"(","zone":"z","region":"r","service":"s","upstream":"i",)"
+                                       R"("born":5,"stage":"ready","slots":9})",
+                                   reason)
+                   .has_value());
+  expect_true(reason.describe().size() < 1'000);
+}
