Log and measure for how long a version was not confirmed as the newest

A lost watch now has a line (kind, revision, how long it was open, whether it was answered); state_in_force and each request line say how long ago the store last confirmed the version, and so does the gauge masticshunt_state_unconfirmed_seconds. No decision is changed.

--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -28,6 +28,12 @@
     gauge_definition{
         "masticshunt_state_version", "Version of the desired state in force",
         [](const gauge_sources& sources) { return count(sources.view.routes().version()); }},
+    gauge_definition{"masticshunt_state_unconfirmed_seconds",
+                     "Time since the store last confirmed that the desired state is the newest",
+                     [](const gauge_sources& sources) {
+                       const auto age = sources.view.state_age(boot_now()).value_or(duration{});
+                       return std::chrono::duration<double>(age).count();
+                     }},
     gauge_definition{
         "masticshunt_agents_known", "Registrations known",
         [](const gauge_sources& sources) { return count(sources.view.directory.all().size()); }},
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -127,7 +127,8 @@
                                   if (!change.deleted &&
                                       change.object.name == platform::desired_state_name)
                                     update_state(change.object.spec, "store");
-                                }});
+                                },
+                            .up_to_date = [this] { view_.confirm_state(boot_now()); }});
   // Gates refuse what an ingress agent sends to the wrong place, so registrations may be seconds
   // old. Only a restarted agent needs its own latest registration, which its first listing holds.
   const auto first_listing =
@@ -175,6 +176,7 @@
     return;
   }
   const auto version = state->version;
+  const auto unconfirmed_for = view_.state_age(boot_now()).value_or(duration{});
   if (!view_.update_state(std::move(*state), text)) return;
   const auto& in_force = view_.routes().state();
   server_limits limits;
@@ -183,8 +185,12 @@
   limits.header_timeout = in_force.limits.header_timeout;
   limits.idle_timeout = in_force.limits.idle_timeout;
   callers_server_.set_limits(limits);
-  log_event("state_in_force version=" + std::to_string(version) + " from=" + std::string(from) +
-            " routes=" + std::to_string(in_force.routes.size()));
+  support::event_text line("state_in_force");
+  line.add("version", version)
+      .add("from", from)
+      .add("routes", in_force.routes.size())
+      .add("unconfirmed_ms", unconfirmed_for);
+  log_event(line.text());
   fleet_changed();
 }
 
--- a/src/fleet/internal/fleet_view.h
+++ b/src/fleet/internal/fleet_view.h
@@ -37,6 +37,14 @@
   bool update_state(routing::desired_state state, std::string text);
   [[nodiscard]] const routing::route_table& routes() const { return routes_; }
   [[nodiscard]] const std::string& state_text() const { return state_text_; }
+  /// Records that the store had no newer desired state at `now`.
+  void confirm_state(time_point now) { state_confirmed_at_ = now; }
+  /// Returns for how long the store has not confirmed that the desired state is the newest; nothing
+  /// if it never has.
+  [[nodiscard]] std::optional<duration> state_age(time_point now) const {
+    if (!state_confirmed_at_) return std::nullopt;
+    return now - *state_confirmed_at_;
+  }
 
   /// Stores a claim map if it is newer. Returns true if it was stored.
   bool update_map(const claims::claim_map& map);
@@ -60,6 +68,7 @@
   std::string self_;
   routing::route_table routes_;
   std::string state_text_;
+  std::optional<time_point> state_confirmed_at_;
   std::map<std::string, cached_map> maps_;
 };
 
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -404,6 +404,7 @@
       .add("took_ms", took)
       .add("left_ms", state.deadline - now)
       .add("state", view_.routes().version())
+      .add("state_age_ms", view_.state_age(now).value_or(duration{}))
       .add("map", view_.map_revision(state.service));
   log_.write_admitted(line.text());
 }
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -131,7 +131,9 @@
       revision = listing->revision;
       listing_data = how_.changes;
       on_.listed(listing->objects);
+      if (on_.up_to_date) on_.up_to_date();
     }
+    const auto opened = boot_now();
     const auto answer = co_await store_.call(
         platform::watch_objects(
             kind_, *revision, std::chrono::duration_cast<std::chrono::milliseconds>(watch_duration),
@@ -147,6 +149,12 @@
     const auto changes =
         answer.done() ? platform::decode_changes(answer.body, reason) : std::nullopt;
     if (!changes) {
+      support::event_text line("watch_lost");
+      line.add("kind", kind_)
+          .add("revision", *revision)
+          .add("open_ms", boot_now() - opened)
+          .add("answered", answer.verdict ? "yes" : "no");
+      store_.log().line(support::line_class::process, line.text(), boot_now());
       co_await wait(pause);
       pause = std::min(pause * 2, longest_pause);
       continue;
@@ -156,6 +164,7 @@
     revision = std::max(*revision, changes->revision);
     store_.log_unreadable(kind_, changes->unreadable);
     std::ranges::for_each(changes->changes, on_.changed);
+    if (on_.up_to_date) on_.up_to_date();
     if (!changes->changes.empty() && how_.batching > duration{}) co_await wait(how_.batching);
   }
 }
--- a/tests/fleet/fleet_view_test.cpp
+++ b/tests/fleet/fleet_view_test.cpp
@@ -23,6 +23,13 @@
 
 }  // namespace
 
+Test(fleet_view, tells_for_how_long_the_store_has_not_confirmed_the_desired_state) {
+  fleet_view view({.name = "vm-1"});
+  expect_true(!view.state_age(time_point{}));
+  view.confirm_state(time_point{std::chrono::seconds{3}});
+  expect_true(view.state_age(time_point{std::chrono::seconds{5}}) == std::chrono::seconds{2});
+}
+
 Test(fleet_view, a_newer_hint_of_a_peer_overrides_the_map) {
   auto view = view_with_map(5);
   expect_true(view.add_owner_hint("viewer", claim_of("vm-2", {10, 20}, 2), 6));
