Bound the age of the version in force: ask the store whether it is the newest

Cause: an agent's version changed only by what its watch brought, and a watch that has died looks like one with nothing to report, for 27 s or until the kernel's probes fail. If the watches of all agents die together, no peer can help. Where a question finds what the watch should have brought, or a call had no answer, all connections to the store count as dead and watches begin again. A version found so spreads by faster gossip.

--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -107,6 +107,8 @@
   [[nodiscard]] std::vector<const registration*> of_service(std::string_view service) const;
   /// Returns all registrations, by agent.
   [[nodiscard]] std::vector<const registration*> all() const;
+  /// Returns the number of registrations.
+  [[nodiscard]] std::size_t size() const { return members_.size(); }
 
   /// Returns the agent for a request of `service`, or nothing. Agents in `tried` rank last,
   /// unreachable ones behind all reachable agents not in `tried`. The random number `draw`, in
--- a/include/masticshunt/fleet/settings.h
+++ b/include/masticshunt/fleet/settings.h
@@ -40,6 +40,7 @@
 
   std::chrono::milliseconds drain{2'000};
   std::chrono::milliseconds grace{6'000};
+  std::chrono::milliseconds config{2'000};  ///< In which a new desired state must be in force.
   std::chrono::milliseconds hold_max{10'000};
   double repeat_ratio = 0.2;
   std::chrono::milliseconds repeat_window{10'000};
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -29,6 +29,9 @@
 constexpr double bytes_of_megabit = 125'000;
 constexpr duration peer_idle_timeout = std::chrono::seconds{30};
 constexpr duration peer_pool_idle = std::chrono::seconds{20};
+/// How long a version spreads among peers faster than usual if the watches may not bring it.
+constexpr duration version_spread_time = std::chrono::seconds{2};
+constexpr std::string_view state_from_peer = "peer";
 constexpr unsigned status_not_ready = 503;
 constexpr unsigned status_not_found = 404;
 
@@ -75,7 +78,9 @@
       metrics_server_(context.get_executor(), [this](auto request) { answer_metrics(request); }),
       housekeeping_timer_(context),
       claims_timer_(context),
-      signals_(context, SIGTERM, SIGINT, SIGHUP) {
+      signals_(context, SIGTERM, SIGINT, SIGHUP),
+      state_confirmation_({.bound = settings_.config}),
+      random_(incarnation_) {
   add_agent_gauges(metrics_, {view_, gate_, claims_, store_, log_});
   server_limits peer_limits;
   peer_limits.idle_timeout = peer_idle_timeout;
@@ -83,7 +88,7 @@
   peer_limits.handler_sends_continue = true;
   peer_limits.body_bytes = std::uint64_t{1} << 32U;
   peer_server_.set_limits(peer_limits);
-  peers_.on_state([this](const std::string& text) { update_state(text, "peer"); });
+  peers_.on_state([this](const std::string& text) { update_state(text, state_from_peer); });
   upstream_.on_change([this] { fleet_changed(); });
   upstream_.on_keys([this](auto request, const claims::reported_keys& keys, bool changed) {
     claims_.heartbeat_received(std::move(request), keys, changed, boot_now());
@@ -128,7 +133,11 @@
                                       change.object.name == platform::desired_state_name)
                                     update_state(change.object.spec, "store");
                                 },
-                            .up_to_date = [this] { view_.confirm_state(boot_now()); }});
+                            .up_to_date =
+                                [this] {
+                                  view_.confirm_state(boot_now());
+                                  state_confirmation_.store_answered();
+                                }});
   // Gates refuse what an ingress agent sends to the wrong place, so registrations may be seconds
   // old. Only a restarted agent needs its own latest registration, which its first listing holds.
   const auto first_listing =
@@ -178,6 +187,9 @@
   const auto version = state->version;
   const auto unconfirmed_for = view_.state_age(boot_now()).value_or(duration{});
   if (!view_.update_state(std::move(*state), text)) return;
+  if (from == state_from_peer) state_confirmation_.version_learned_from_peer(boot_now());
+  if (from == state_from_peer || unconfirmed_for > version_spread_time)
+    spread_until_ = boot_now() + version_spread_time;
   const auto& in_force = view_.routes().state();
   server_limits limits;
   limits.header_bytes = static_cast<std::uint32_t>(in_force.limits.header_bytes);
@@ -248,7 +260,8 @@
   store_.sweep(now);
   gate_.tick(now);
   upstream_.tick(now);
-  peers_.tick(now, store_.reached());
+  confirm_state(now);
+  peers_.tick(now, !store_.reached() || (spread_until_ && now < *spread_until_));
   for (const auto& [name, service] : view_.routes().state().services)
     if (service.keyed && view_.find_map(name) == nullptr) claims_.refresh_map(name);
   schedule_claims();
@@ -260,6 +273,12 @@
   });
 }
 
+void agent_process::confirm_state(time_point now) {
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  if (state_confirmation_.due(now, view_.directory.size(), draw))
+    asio::co_spawn(context_, state_watch_->confirm(), asio::detached);
+}
+
 bool agent_process::ready() const {
   return !stopping_since_ && view_.routes().version() > 0 && view_.directory.all().size() > 1;
 }
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "fleet/internal/claims_driver.h"
@@ -18,6 +19,7 @@
 #include "fleet/internal/peer_service.h"
 #include "fleet/internal/store_client.h"
 #include "fleet/internal/upstream_registrar.h"
+#include "masticshunt/decisions/routing/state_confirmation.h"
 #include "masticshunt/fleet/settings.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
@@ -36,12 +38,16 @@
   /// Opens the endpoints and starts the agent. Returns an empty text, or the reason of a failure.
   std::string start();
 
+  /// Returns the version of the desired state in force; zero before the first.
+  [[nodiscard]] std::uint64_t state_version() const { return view_.routes().version(); }
+
  private:
   void watch_store();
   void update_state(const std::string& text, std::string_view from);
   void apply_registration(const platform::stored_object& object);
   void fleet_changed();
   void housekeeping();
+  void confirm_state(time_point now);
   void schedule_claims();
   void wait_for_signal();
   void reload();
@@ -78,6 +84,9 @@
   boost::asio::signal_set signals_;
   std::optional<time_point> stopping_since_;
   bool claims_scheduled_ = false;
+  routing::state_confirmation state_confirmation_;
+  std::optional<time_point> spread_until_;  ///< Until then, peers may have missed the new version.
+  std::mt19937_64 random_;
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -25,7 +25,7 @@
 constexpr double continue_wait_share = 0.4;
 
 constexpr duration version_gossip_interval = std::chrono::seconds{1};
-constexpr duration version_gossip_interval_in_outage = std::chrono::milliseconds{250};
+constexpr duration version_gossip_interval_short = std::chrono::milliseconds{250};
 constexpr duration fetch_timeout = std::chrono::seconds{1};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
@@ -151,10 +151,9 @@
       .dump();
 }
 
-void peer_service::tick(time_point now, bool store_reached) {
+void peer_service::tick(time_point now, bool hurry) {
   if (now < next_gossip_ || view_.routes().version() == 0) return;
-  next_gossip_ =
-      now + (store_reached ? version_gossip_interval : version_gossip_interval_in_outage);
+  next_gossip_ = now + (hurry ? version_gossip_interval_short : version_gossip_interval);
   const auto peers = view_.directory.all();
   if (peers.empty()) return;
   const auto index = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(random_);
--- a/src/fleet/internal/peer_service.h
+++ b/src/fleet/internal/peer_service.h
@@ -35,8 +35,9 @@
                                                endpoint to);
 
   /// Sends the version of the desired state to a random peer when the gossip interval has passed,
-  /// so that an agent that started without access to the store can fetch the state from a peer.
-  void tick(time_point now, bool store_reached);
+  /// so that an agent that does not get the state from the store can fetch it from a peer. With
+  /// `hurry` the interval is short.
+  void tick(time_point now, bool hurry);
 
   /// Sets the callback for a desired state, in its stored form, that was fetched from a peer.
   void on_state(std::function<void(const std::string&)> action) { on_state_ = std::move(action); }
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -39,12 +39,21 @@
   store_client(const boost::asio::any_io_executor& executor, endpoint address,
                support::event_log& log);
 
-  /// Sends a call. Does not retry.
-  boost::asio::awaitable<store_answer> call(platform::call request, duration timeout);
+  /// Sends a call. Does not retry. With `cancel`, the call can be given up.
+  boost::asio::awaitable<store_answer> call(platform::call request, duration timeout,
+                                            cancellation* cancel = nullptr);
   /// Returns all objects of a kind with the revision of the listing, or nothing on failure.
   boost::asio::awaitable<std::optional<platform::stored_page>> list(std::string kind,
                                                                     platform::freshness data);
 
+  /// Adds a callback that runs when the store answers again after a call without an answer.
+  /// Connections opened before that call may be dead too.
+  void on_regained(std::function<void(time_point lost_at)> action) {
+    on_regained_.push_back(std::move(action));
+  }
+  /// Takes all connections opened so far for dead although nothing has failed on them.
+  void suspect_connections();
+
   [[nodiscard]] const store_counts& counts() const { return counts_; }
   /// Returns true if the last call was answered and not refused.
   [[nodiscard]] bool reached() const { return !unreachable_since_; }
@@ -56,18 +65,21 @@
 
  private:
   void set_reached(bool reached, const std::string& why);
+  void regained(time_point lost_at) const;
 
   connection_pool pool_;
   endpoint address_;
   support::event_log& log_;
   store_counts counts_;
   std::optional<time_point> unreachable_since_;
+  std::optional<time_point> unanswered_at_;  ///< Of the last call, if no other was answered since.
+  std::vector<std::function<void(time_point)>> on_regained_;
 };
 
 /// Follows a kind of objects: lists it, then watches for changes, and lists again when the store no
 /// longer has the history.
 ///
-/// Thread safety: none.
+/// A watch whose connection may be dead is given up and started again. Thread safety: none.
 class store_watch {
  public:
   struct handlers {
@@ -86,17 +98,29 @@
 
   /// Follows the kind for the lifetime of the process.
   boost::asio::awaitable<void> run();
-  /// Ends a pause between calls early.
-  void poll_now() { pause_.cancel(); }
+  /// Asks the store at once whether anything has changed. If the watch should have brought it,
+  /// takes the connections to the store for dead.
+  boost::asio::awaitable<void> confirm();
 
  private:
+  boost::asio::awaitable<bool> list();
+  boost::asio::awaitable<bool> watch();
   boost::asio::awaitable<void> wait(duration span);
+  void apply(const platform::stored_changes& changes);
+  void forget_history();
+  void log_lost_watch(const store_answer& answer, time_point opened);
 
   store_client& store_;
   std::string kind_;
   reading how_;
   handlers on_;
   boost::asio::steady_timer pause_;
+  platform::freshness listing_data_;
+  std::optional<std::uint64_t> revision_;  ///< Up to which changes were passed on.
+  /// Of the call that waits for changes; null between calls.
+  cancellation* waiting_ = nullptr;
+  time_point waiting_since_{};
+  bool confirming_ = false;
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -47,6 +47,7 @@
     setting_spec{"link", "bandwidth", &fleet_settings::link_megabits, presence::optional},
     setting_spec{"bounds", "drain", &fleet_settings::drain, presence::optional},
     setting_spec{"bounds", "grace", &fleet_settings::grace, presence::optional},
+    setting_spec{"bounds", "config", &fleet_settings::config, presence::optional},
     setting_spec{"bounds", "hold_max", &fleet_settings::hold_max, presence::optional},
     setting_spec{"bounds", "repeat_ratio", &fleet_settings::repeat_ratio, presence::optional},
     setting_spec{"bounds", "repeat_window", &fleet_settings::repeat_window, presence::optional},
@@ -123,6 +124,11 @@
               "write the VM's bandwidth in megabits per second"};
     return std::nullopt;
   }
+  if (settings.config <= std::chrono::milliseconds{0}) {
+    reason = {failure_kind::bad_input, std::string(file) + ": [bounds] config is not above zero",
+              "write the time in which a new desired state must be in force"};
+    return std::nullopt;
+  }
   return settings;
 }
 
--- a/tests/fleet/settings_test.cpp
+++ b/tests/fleet/settings_test.cpp
@@ -55,6 +55,11 @@
   expect_true(error_of(text).find("[link] bandwidth") != std::string::npos);
 }
 
+Test(fleet_settings, a_configuration_bound_of_zero_is_refused) {
+  const auto error_text = error_of(replaced("grace = 6s", "config = 0ms\ngrace = 6s"));
+  expect_true(error_text.find("[bounds] config") != std::string::npos, error_text);
+}
+
 Test(fleet_settings, an_address_needs_a_port) {
   expect_true(error_of(replaced("10.0.0.9:9000", "10.0.0.9")).find("IP:PORT") != std::string::npos);
 }
--- a/tests/process_soak/store.h
+++ b/tests/process_soak/store.h
@@ -51,6 +51,10 @@
     compacted_revision_ = revision_;
     for (auto& each : std::exchange(watches_, {})) respond(each.request, 410, {});
   }
+  /// Forgets the open watches without closing their connections, which stay silent.
+  void forget_watches() {
+    for (auto& each : std::exchange(watches_, {})) unanswered_.push_back(std::move(each.request));
+  }
   /// Writes an object unconditionally, like an operator, in every mode.
   void put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
     object& stored = objects_by_kind_[kind][name];
@@ -240,7 +244,7 @@
   std::map<std::string, std::map<std::string, object>> objects_by_kind_;
   std::deque<event> history_;
   std::vector<watch> watches_;
-  std::vector<request_ptr> unanswered_;  ///< Calls received while unresponsive; never answered.
+  std::vector<request_ptr> unanswered_;  ///< Calls that are never answered.
 };
 
 }  // namespace masticshunt::process_soak
