Remember which peer states a newer version while a fetch from another one runs

What callers could see: an agent behind the others answers as an older desired state allows for a second longer than needed. Cause: while a desired state was fetched from one peer, what others stated was dropped, and a fetch that failed, as from a frozen peer, was only made up for by the next statement that happened to come. Change: version_fetch keeps the newest statement of another peer and fetches from it next; a failed fetch has a log line.

--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -172,9 +172,15 @@
 }
 
 void peer_service::observe_version(const endpoint& peer, std::uint64_t state_version) {
-  if (state_version > view_.routes().version() && !fetching_) {
-    fetching_ = true;
-    asio::co_spawn(executor_, fetch_state(peer), asio::detached);
+  if (auto from = version_fetch_.stated(peer, state_version, view_.routes().version()))
+    asio::co_spawn(executor_, fetch_states(std::move(*from)), asio::detached);
+}
+
+asio::awaitable<void> peer_service::fetch_states(endpoint peer) {
+  std::optional<endpoint> next = std::move(peer);
+  while (next) {
+    co_await fetch_state(std::move(*next));
+    next = version_fetch_.ended(view_.routes().version());
   }
 }
 
@@ -184,10 +190,13 @@
   request.head = "GET " + std::string(state_path) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
   request.deadline = boot_now() + fetch_timeout;
   auto exchange = co_await run_exchange(peers_, peer, std::move(request), never_cancelled);
-  fetching_ = false;
   if (exchange.result != exchange_result::answered || exchange.status != status_ok ||
-      !exchange.body->fully_buffered())
+      !exchange.body->fully_buffered()) {
+    support::event_text line("peer_state_missing");
+    line.add("peer", peer).add("status", exchange.status).add_quoted("why", exchange.detail);
+    log_.line(support::line_class::process, line.text(), boot_now());
     co_return;
+  }
   try {
     const auto document = nlohmann::json::parse(exchange.body->buffered());
     if (on_state_) on_state_(document.at("state").get<std::string>());
--- a/src/fleet/internal/peer_service.h
+++ b/src/fleet/internal/peer_service.h
@@ -14,6 +14,7 @@
 #include "fleet/internal/fleet_view.h"
 #include "fleet/internal/gate_service.h"
 #include "fleet/internal/http_client.h"
+#include "masticshunt/decisions/routing/version_fetch.h"
 #include "masticshunt/support/event_log.h"
 
 namespace masticshunt::fleet {
@@ -48,6 +49,7 @@
   boost::asio::awaitable<void> serve_call(std::shared_ptr<server_request> request);
   boost::asio::awaitable<void> gossip_version(endpoint peer);
   void observe_version(const endpoint& peer, std::uint64_t state_version);
+  boost::asio::awaitable<void> fetch_states(endpoint peer);
   boost::asio::awaitable<void> fetch_state(endpoint peer);
   std::string state_document() const;
 
@@ -59,7 +61,7 @@
   connection_pool& peers_;
   support::event_log& log_;
   std::function<void(const std::string&)> on_state_;
-  bool fetching_ = false;
+  routing::version_fetch version_fetch_;
   time_point next_gossip_{};
   std::mt19937_64 random_;
 };
