Let the kernel notice a silent connection to the store within 2 s

Probes now start after 1 s of silence and one without an answer ends the connection; one lost by chance costs a new watch. Test: store_connections::that_fall_silent_end_within_the_time_for_a_new_desired_state (before: 5 s).

--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -221,8 +221,10 @@
   ++opened_;
   connection->socket.non_blocking(true, error);
   support::apply_socket_options(
-      connection->socket, {.user_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
-                               limits_.user_timeout)});
+      connection->socket,
+      {.user_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits_.user_timeout),
+       .keepalive_idle = limits_.keepalive_idle,
+       .keepalive_probes = limits_.keepalive_probes});
   co_return connection;
 }
 
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -39,7 +39,9 @@
   duration idle_limit = std::chrono::seconds{8};  ///< Unless the peer announces another.
   duration connect_timeout = std::chrono::milliseconds{400};
   duration user_timeout = std::chrono::milliseconds{1'500};
-  std::size_t idle_max = 64;  ///< Idle connections per endpoint.
+  std::chrono::seconds keepalive_idle{2};  ///< Idle time before the kernel probes the peer.
+  int keepalive_probes = 3;                ///< Unanswered ones, a second apart, end a connection.
+  std::size_t idle_max = 64;               ///< Idle connections per endpoint.
 };
 
 /// Keeps idle connections per endpoint and reuses the most recently used one first.
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -25,9 +25,7 @@
 
 store_client::store_client(const asio::any_io_executor& executor, endpoint address,
                            support::event_log& log)
-    : pool_(executor, {.connect_timeout = std::chrono::milliseconds{600}}),
-      address_(std::move(address)),
-      log_(log) {}
+    : pool_(executor, store_connections), address_(std::move(address)), log_(log) {}
 
 asio::awaitable<store_answer> store_client::call(platform::call call_request, duration timeout,
                                                  cancellation* cancel) {
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -17,6 +17,12 @@
 
 namespace masticshunt::fleet {
 
+/// Limits of connections to the store. Watches leave them silent, so the kernel must notice early
+/// that one has died; a probe that is lost by chance costs only a new watch.
+inline constexpr pool_limits store_connections{.connect_timeout = std::chrono::milliseconds{600},
+                                               .keepalive_idle = std::chrono::seconds{1},
+                                               .keepalive_probes = 1};
+
 /// The answer of the store. Without an answer `verdict` is unset: the call may have taken effect.
 struct store_answer {
   std::optional<platform::store_verdict> verdict;
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -1,3 +1,6 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,6 +19,8 @@
 #include "expect.h"
 #include "fleet/internal/http_client.h"
 #include "fleet/internal/http_server.h"
+#include "fleet/internal/store_client.h"
+#include "masticshunt/fleet/settings.h"
 #include "masticshunt/support/clock.h"
 
 using namespace masticshunt;
@@ -484,6 +489,37 @@
   expect_true(outcome.result == exchange_result::answered, outcome.detail);
 }
 
+namespace {
+
+/// Returns when the kernel ends a silent connection of a pool with `limits`.
+std::chrono::seconds silence_until_end(const pool_limits& limits) {
+  asio::io_context context;
+  tcp::acceptor listener(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  connection_pool pool(context.get_executor(), limits);
+  connection_ptr connection;
+  const auto open = [&]() -> asio::awaitable<void> {
+    cancellation never_cancelled;
+    connection =
+        co_await pool.acquire("127.0.0.1:" + std::to_string(listener.local_endpoint().port()),
+                              boot_now() + wait_limit, never_cancelled);
+  };
+  asio::co_spawn(context, open(), asio::detached);
+  context.run();
+  const auto option = [&connection](int name) {
+    int value = 0;
+    socklen_t size = sizeof value;
+    ::getsockopt(connection->socket.native_handle(), IPPROTO_TCP, name, &value, &size);
+    return value;
+  };
+  return std::chrono::seconds{option(TCP_KEEPIDLE) + option(TCP_KEEPINTVL) * option(TCP_KEEPCNT)};
+}
+
+}  // namespace
+
+Test(store_connections, that_fall_silent_end_within_the_time_for_a_new_desired_state) {
+  expect_true(silence_until_end(store_connections) <= fleet_settings{}.config);
+}
+
 Test(server, passes_on_no_request_whose_sender_had_left_before_it_was_read) {
   asio::io_context context;
   int handled = 0;
