Give up idle connections that fell silent together with the one in use

Each idle one in the pools to peers, upstreams and the store was found dead only by a request that was lost on it, or by the kernel after 5 s. An exchange on a kept connection that ends without a single byte of the peer now closes those that have been idle since before it began. Test: client::gives_up_idle_connections_that_fell_silent_with_the_one_in_use (before, two requests in a row were lost).

--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -70,6 +70,7 @@
   const auto got = co_await connection.socket.async_read_some(
       connection.buffer.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, error));
   connection.buffer.commit(got);
+  if (got > 0) connection.received_at = boot_now();
   co_return !error;
 }
 
@@ -259,6 +260,13 @@
   }
 }
 
+void connection_pool::drop_idle_since(const endpoint& to, time_point when) {
+  const auto found = idle_.find(to);
+  if (found == idle_.end()) return;
+  std::erase_if(found->second,
+                [when](const connection_ptr& each) { return each->idle_since < when; });
+}
+
 asio::awaitable<exchange_outcome> run_exchange(connection_pool& pool, endpoint to,
                                                exchange_request request, cancellation& cancel) {
   exchange_outcome outcome;
@@ -279,16 +287,22 @@
     co_return outcome;
   }
   outcome.reused = connection->uses > 0;
+  const auto began = boot_now();
   cancel.on_request([connection] {
     error_code ignored;
     connection->socket.close(ignored);
   });
   watchdog guard(*connection, request.deadline);
+  error_code error;
   const auto fail_with = [&](exchange_result result, std::string detail) {
     outcome.result = cancel.requested() ? exchange_result::cancelled
                      : guard.expired()  ? exchange_result::timed_out
                                         : result;
     outcome.detail = std::move(detail);
+    // Connections can fall silent together, without a reset.
+    const bool was_silent = outcome.reused && connection->received_at < began;
+    if (was_silent && (guard.expired() || error == asio::error::timed_out))
+      pool.drop_idle_since(connection->to, began);
     cancel.clear();
     error_code ignored;
     connection->socket.close(ignored);
@@ -302,7 +316,6 @@
       request.body && (request.continue_deadline || !request.body->fully_buffered() ||
                        request.body->buffered().size() > inline_body_max);
   if (request.body && !body_follows) bytes += request.body->buffered();
-  error_code error;
   std::size_t written = connection->socket.write_some(asio::buffer(bytes), error);
   if (error == asio::error::would_block) {
     error = {};
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -29,6 +29,7 @@
   endpoint to;
   std::uint32_t uses = 0;
   time_point idle_since{};
+  time_point received_at{};  ///< When bytes of the peer arrived last.
   duration idle_limit{};
   bool allows_stalls = false;  ///< Its user timeout lasts until the deadline of its exchange.
 };
@@ -64,6 +65,8 @@
   void sweep(time_point now);
   /// Closes the idle connections to `to`.
   void drop_idle(const endpoint& to) { idle_.erase(to); }
+  /// Closes the connections to `to` that have been idle since before `when`.
+  void drop_idle_since(const endpoint& to, time_point when);
   /// Returns the number of connections opened so far.
   [[nodiscard]] std::uint64_t connections_opened() const { return opened_; }
   /// Returns the executor of the connections.
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -491,6 +492,79 @@
 
 namespace {
 
+/// A peer whose first connections fall silent after one answer each, as if their packets were lost
+/// from then on; later connections are answered always.
+struct falling_silent_peer {
+  std::size_t falling_silent;
+  tcp::acceptor acceptor;
+  std::size_t connections = 0;
+  std::size_t answered = 0;
+
+  falling_silent_peer(asio::io_context& context, std::size_t count)
+      : falling_silent(count),
+        acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+
+  asio::awaitable<void> accept() {
+    for (;;) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(acceptor.get_executor(),
+                     serve(std::move(socket), ++connections <= falling_silent), asio::detached);
+    }
+  }
+  asio::awaitable<void> serve(tcp::socket socket, bool falls_silent) {
+    std::string received;
+    for (;;) {
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                                      asio::use_awaitable);
+      received.clear();
+      // All of the first connections are opened before the first one is answered.
+      asio::steady_timer pause(acceptor.get_executor(), std::chrono::milliseconds{50});
+      co_await pause.async_wait(asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(answer("a")), asio::use_awaitable);
+      ++answered;
+      if (falls_silent) co_await socket.async_wait(tcp::socket::wait_error, asio::use_awaitable);
+    }
+  }
+};
+
+/// Returns how many of two exchanges, one after the other, end in time after the idle connections
+/// of a pool have fallen silent.
+int answered_after_silence(std::size_t idle) {
+  constexpr duration time = std::chrono::milliseconds{300};
+  asio::io_context context;
+  falling_silent_peer peer(context, idle);
+  connection_pool pool(context.get_executor(), {});
+  const endpoint to = "127.0.0.1:" + std::to_string(peer.acceptor.local_endpoint().port());
+  asio::co_spawn(context, peer.accept(), asio::detached);
+  const auto exchange = [&]() -> asio::awaitable<exchange_result> {
+    cancellation never_cancelled;
+    exchange_request request;
+    request.head = "GET / HTTP/1.1\r\nHost: a\r\n";
+    request.deadline = boot_now() + time;
+    co_return (co_await run_exchange(pool, to, std::move(request), never_cancelled)).result;
+  };
+  for (std::size_t i = 0; i < idle; ++i)
+    asio::co_spawn(context, exchange(), [](const auto&, auto) {});
+  context.run_for(std::chrono::milliseconds{150});
+  int answered = 0;
+  const auto run = [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 2; ++i)
+      if (co_await exchange() == exchange_result::answered) ++answered;
+    context.stop();
+  };
+  asio::co_spawn(context, run(), asio::detached);
+  context.run();
+  return answered;
+}
+
+}  // namespace
+
+Test(client, gives_up_idle_connections_that_fell_silent_with_the_one_in_use) {
+  expect_equal(answered_after_silence(3), 1);
+}
+
+namespace {
+
 /// Returns when the kernel ends a silent connection of a pool with `limits`.
 std::chrono::seconds silence_until_end(const pool_limits& limits) {
   asio::io_context context;
