Decode and log what an upstream says of itself in its answers

Nothing read the limit that an upstream names, nor that it leaves, so no log could tell which upstream was limited, from when and to what. platform/ decodes both: a limit is a decimal number of any length; of several the lowest counts; what is no such number is ignored, with a line. The gate logs each change (upstream_limit, upstream_leaving) and a gauge shows the limit. No decision is changed. Tests: answer_metadata, five cases.

--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -45,6 +45,10 @@
         [](const gauge_sources& sources) { return count(sources.gate.load().waiting); }},
     gauge_definition{"masticshunt_gate_slots", "Requests that the upstream runs at once",
                      [](const gauge_sources& sources) { return count(sources.gate.load().slots); }},
+    gauge_definition{
+        "masticshunt_upstream_limit",
+        "Requests a second that the upstream says it takes; -1 without a limit",
+        [](const gauge_sources& sources) { return sources.gate.request_limit().value_or(-1); }},
     gauge_definition{
         "masticshunt_upstream_connections_opened_total", "Connections opened to the upstream",
         [](const gauge_sources& sources) { return count(sources.gate.connections_opened()); }},
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -1,8 +1,10 @@
 #include "fleet/internal/gate_service.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cstdio>
 
 #include "masticshunt/support/clock.h"
 #include "platform/headers.h"
@@ -40,6 +42,14 @@
   return std::max<duration>(*limit - idle_limit_margin, std::chrono::milliseconds{500});
 }
 
+/// Returns a limit for a log line.
+std::string text_of(const std::optional<double>& limit) {
+  if (!limit) return "none";
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", *limit);
+  return text.data();
+}
+
 bool claims_not_run(unsigned status) {
   return status == status_timeout || status == status_misdirected || status == status_too_many ||
          status == status_unavailable;
@@ -401,6 +411,7 @@
       break;
   }
   const auto metadata = platform::read_answer_metadata(exchange.status, exchange.head);
+  if (!metadata.wrong_incarnation) note_statements(metadata);
   if (metadata.not_run) {
     outcome.result = attempt_result::not_run;
     outcome.why = refusal::shed;
@@ -425,6 +436,30 @@
   return outcome;
 }
 
+void gate_service::note_statements(const platform::answer_metadata& answer) {
+  const auto now = boot_now();
+  const auto id = upstream_id();
+  if (answer.request_limit_unreadable) {
+    support::event_text line("upstream_limit_unreadable");
+    line.add("upstream", id);
+    log_.line(support::line_class::process, line.text(), now);
+  }
+  if (answer.request_limit != request_limit_) {
+    support::event_text line("upstream_limit");
+    line.add("upstream", id)
+        .add("per_second", text_of(answer.request_limit))
+        .add("before", text_of(request_limit_))
+        .add("running", queue_.running())
+        .add("waiting", queue_.waiting());
+    log_.line(support::line_class::process, line.text(), now);
+    request_limit_ = answer.request_limit;
+  }
+  if (answer.leaving && !leaving_)
+    log_.line(support::line_class::process,
+              support::event_text("upstream_leaving").add("upstream", id).text(), now);
+  leaving_ = answer.leaving;
+}
+
 void gate_service::update_service_time(duration run_time) {
   if (service_time_ == duration{}) {
     service_time_ = run_time;
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -19,6 +19,7 @@
 #include "masticshunt/decisions/requests/transfer_queue.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
+#include "platform/headers.h"
 
 namespace masticshunt::fleet {
 
@@ -79,6 +80,9 @@
   [[nodiscard]] duration service_time() const { return service_time_; }
   [[nodiscard]] std::size_t in_flight() const { return queue_.running() + queue_.waiting(); }
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
+  /// Returns the requests a second that the upstream said it takes, or nothing if it names no
+  /// limit.
+  [[nodiscard]] std::optional<double> request_limit() const { return request_limit_; }
   /// Returns the number of requests started after their deadline. A value above zero is a
   /// violation.
   [[nodiscard]] std::uint64_t started_late() const { return queue_.counts().started_late; }
@@ -116,6 +120,8 @@
       std::shared_ptr<attempt> request, requests::admission_id id);
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> request);
   attempt_outcome classify(const attempt& request, exchange_outcome exchange);
+  /// Takes note of what the upstream says of itself in an answer.
+  void note_statements(const platform::answer_metadata& answer);
   [[nodiscard]] std::optional<attempt_outcome> refusal_if_closed(const attempt& request,
                                                                  time_point now) const;
   void carry_out(const requests::admission_actions& actions);
@@ -151,6 +157,8 @@
   std::uint32_t connect_failures_ = 0;
   std::uint32_t retries_running_ = 0;
   gate_counts counts_;
+  std::optional<double> request_limit_;
+  bool leaving_ = false;  ///< The upstream's latest answer said so.
 };
 
 }  // namespace masticshunt::fleet
--- a/tests/platform_adapter/headers_test.cpp
+++ b/tests/platform_adapter/headers_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/headers.h"
 
+#include <string>
+#include <vector>
+
 #include "expect.h"
 #include "platform/calls.h"
 
@@ -40,6 +43,58 @@
   expect_false(read_answer_metadata(421, shed).wrong_incarnation);
 }
 
+namespace {
+
+answer_metadata answer_with_limits(const std::vector<std::string>& texts) {
+  fields from;
+  for (const auto& each : texts) from.insert("Server-Limit", each);
+  return read_answer_metadata(200, from);
+}
+
+std::optional<double> limit_of(const std::string& text) {
+  return answer_with_limits({text}).request_limit;
+}
+
+}  // namespace
+
+Test(answer_metadata, reads_the_request_limit_as_a_decimal_number) {
+  expect_true(limit_of("33.5") == 33.5);
+  expect_true(limit_of("7") == 7.0);
+  expect_true(limit_of("0") == 0.0);
+  expect_true(limit_of("0.001") == 0.001);
+  expect_false(answer_with_limits({}).request_limit.has_value());
+  expect_false(answer_with_limits({}).request_limit_unreadable);
+}
+
+Test(answer_metadata, reads_no_request_limit_from_what_is_no_decimal_number) {
+  for (const auto* text :
+       {"", "-3", "+3", "many", "nan", "inf", "1e3", "0x10", "3,5", "3 5", ".5"}) {
+    expect_false(limit_of(text).has_value(), text);
+    expect_true(answer_with_limits({text}).request_limit_unreadable, text);
+  }
+}
+
+Test(answer_metadata, reads_a_request_limit_of_thousands_of_digits) {
+  const std::string zeros(5'000, '0');
+  expect_true(limit_of("33." + zeros) == 33.0);
+  expect_true(limit_of("0." + zeros + "1") == 0.0);
+  expect_true(limit_of("1" + zeros).value_or(0) > 1e6);
+}
+
+Test(answer_metadata, takes_the_lowest_of_several_request_limits) {
+  const auto metadata = answer_with_limits({"40", "many", "12.5", "33"});
+  expect_true(metadata.request_limit == 12.5);
+}
+
+Test(answer_metadata, reads_that_the_upstream_leaves) {
+  fields from;
+  expect_false(read_answer_metadata(200, from).leaving);
+  from.set("Server-Leaving", "1");
+  expect_true(read_answer_metadata(503, from).leaving);
+  from.set("Server-Leaving", "0");
+  expect_false(read_answer_metadata(200, from).leaving);
+}
+
 Test(answer_metadata, reads_load_and_connection) {
   fields from;
   from.set("X-Server-Load", "3,1,8");
