Keep the limit that an upstream names at its gate

Cause: nothing acted on the header. Change: rate_limit spaces the starts of the admission queue by the limit, with a quarter of a second's worth of burst; what would start too late under it is refused at once, the least urgent first, with a Retry-After from when there is room. Under a very low limit single trials go through, as only an answer tells that it has ended. Everything that reaches the upstream passes its gate, so one place keeps the limit and agents need no shares.

--- a/include/masticshunt/decisions/requests/admission_queue.h
+++ b/include/masticshunt/decisions/requests/admission_queue.h
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "masticshunt/base/time.h"
+#include "masticshunt/decisions/requests/rate_limit.h"
 
 namespace masticshunt::requests {
 
@@ -50,7 +52,8 @@
   std::uint64_t refused_deadline = 0;  ///< Could not be answered before the deadline.
   std::uint64_t refused_late = 0;      ///< Would miss the target while the queue is saturated.
   std::uint64_t refused_full = 0;
-  std::uint64_t started_late = 0;  ///< Invariant violation: started after the deadline.
+  std::uint64_t refused_limited = 0;  ///< Would start too late under the upstream's limit.
+  std::uint64_t started_late = 0;     ///< Invariant violation: started after the deadline.
 };
 
 /// Admits requests to an upstream's slots.
@@ -61,6 +64,9 @@
 /// their target use the remaining capacity. While the upstream is saturated they are refused as
 /// soon as they miss their target, so that the caller receives the refusal early.
 ///
+/// Under a limit that the upstream names, requests start no faster than it allows, and those that
+/// would start too late for that are refused at once, the least urgent first.
+///
 /// Usage: call `offer` for each request, `finished` once for each started request, and `tick`
 /// every few ten milliseconds while any request waits. Thread safety: none.
 class admission_queue {
@@ -76,6 +82,20 @@
   bool abandoned(admission_id id);
   /// Refuses the requests that became too late at `now`, and starts others in free slots.
   void tick(time_point now, admission_actions& out);
+  /// An answer of the upstream named a limit in requests a second, or none.
+  void limit_answered(std::optional<double> per_second, time_point now, admission_actions& out);
+  /// An agent that sends requests here was told of a limit.
+  void limit_learned(double per_second, time_point now) { limit_.learned(per_second, now); }
+  /// Another incarnation of the upstream took over.
+  void reset_limit() { limit_.reset(); }
+  /// Returns how long after `now` the limit lets the next waiting request start, or nothing if it
+  /// is not the limit that they wait for.
+  [[nodiscard]] std::optional<duration> limit_wait(time_point now) const;
+  /// Returns how long a request that arrives at `now` would wait for the limit alone.
+  [[nodiscard]] duration expected_limit_wait(time_point now) const {
+    return limit_.wait(waiting_.size(), now);
+  }
+  [[nodiscard]] std::optional<double> limit() const { return limit_.limit(); }
   /// Changes the number of slots.
   void set_slots(std::uint32_t slots) { settings_.slots = slots; }
 
@@ -103,11 +123,16 @@
   [[nodiscard]] waiting_iterator next(time_point now);
   void observe(time_point now);
   void refuse_late(time_point now, admission_actions& out);
+  void refuse_beyond_limit(time_point now, admission_actions& out);
+  [[nodiscard]] std::vector<waiting_iterator> waiting_in_order(time_point now);
   void enforce_rank_limit(std::uint32_t rank, admission_actions& out);
   void start_free(time_point now, admission_actions& out);
-  void refuse(waiting_iterator candidate, std::uint64_t& counter, admission_actions& out);
+  [[nodiscard]] duration time_until_room(const admission_request& request) const;
+  void refuse(waiting_iterator candidate, std::uint64_t& counter, duration retry_after,
+              admission_actions& out);
 
   admission_settings settings_;
+  rate_limit limit_;
   std::list<waiting_request> waiting_;  ///< In order of arrival.
   std::map<admission_id, running_request> running_;
   std::map<kind_key, duration> service_times_;  ///< Moving averages.
--- a/src/decisions/requests/admission_queue.cpp
+++ b/src/decisions/requests/admission_queue.cpp
@@ -43,6 +43,7 @@
   waiting_.push_back({request, now});
   start_free(now, out);
   refuse_late(now, out);
+  refuse_beyond_limit(now, out);
   enforce_rank_limit(request.rank, out);
   had_waiting_ = !waiting_.empty();
 }
@@ -78,25 +79,71 @@
   had_waiting_ = !waiting_.empty();
 }
 
-void admission_queue::refuse(waiting_iterator candidate, std::uint64_t& counter,
-                             admission_actions& out) {
-  ++counter;
+void admission_queue::limit_answered(std::optional<double> per_second, time_point now,
+                                     admission_actions& out) {
+  if (per_second == limit_.limit()) {
+    limit_.answered(per_second, now);
+    return;
+  }
+  observe(now);
+  limit_.answered(per_second, now);
+  start_free(now, out);
+  refuse_beyond_limit(now, out);
+  had_waiting_ = !waiting_.empty();
+}
+
+std::optional<duration> admission_queue::limit_wait(time_point now) const {
+  if (!limit_.limit() || waiting_.empty() || running_.size() >= settings_.slots)
+    return std::nullopt;
+  return limit_.wait(0, now);
+}
+
+duration admission_queue::time_until_room(const admission_request& request) const {
   const double rounds =
       static_cast<double>(waiting_.size()) / static_cast<double>(std::max(1U, settings_.slots));
+  return scaled(expected_service(request), rounds);
+}
+
+void admission_queue::refuse(waiting_iterator candidate, std::uint64_t& counter,
+                             duration retry_after, admission_actions& out) {
+  ++counter;
   out.push_back({admission_action::kind::refuse, candidate->request.id,
-                 std::max(retry_after_min, scaled(expected_service(candidate->request), rounds))});
+                 std::max(retry_after_min, retry_after)});
   waiting_.erase(candidate);
 }
 
+std::vector<admission_queue::waiting_iterator> admission_queue::waiting_in_order(time_point now) {
+  std::vector<waiting_iterator> order;
+  for (auto it = waiting_.begin(); it != waiting_.end(); ++it) order.push_back(it);
+  std::ranges::stable_sort(order, {}, [&](waiting_iterator each) {
+    return std::pair(!can_meet_target(*each, now), each->request.rank);
+  });
+  return order;
+}
+
+void admission_queue::refuse_beyond_limit(time_point now, admission_actions& out) {
+  if (!limit_.limit()) return;
+  std::size_t ahead = 0;
+  for (const waiting_iterator each : waiting_in_order(now)) {
+    const auto end = now + limit_.wait(ahead, now) + expected_service(each->request);
+    const auto latest = saturated() || can_meet_target(*each, now) ? each->request.target_time
+                                                                   : each->request.deadline;
+    if (end <= latest)
+      ++ahead;
+    else
+      refuse(each, counts_.refused_limited, limit_.wait(ahead, now), out);
+  }
+}
+
 void admission_queue::refuse_late(time_point now, admission_actions& out) {
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     const auto candidate = it++;
     const bool too_late = now + expected_service(candidate->request) > candidate->request.deadline;
     // With nothing running, the request is tried anyway, so that a wrong estimate gets corrected.
     if (now >= candidate->request.deadline || (too_late && !running_.empty())) {
-      refuse(candidate, counts_.refused_deadline, out);
+      refuse(candidate, counts_.refused_deadline, time_until_room(candidate->request), out);
     } else if (saturated() && !can_meet_target(*candidate, now)) {
-      refuse(candidate, counts_.refused_late, out);
+      refuse(candidate, counts_.refused_late, time_until_room(candidate->request), out);
     }
   }
 }
@@ -105,8 +152,10 @@
   const auto in_rank = [rank](const waiting_request& each) { return each.request.rank == rank; };
   const auto waiting_max =
       static_cast<std::ptrdiff_t>(std::max(2.0, settings_.waiting_per_slot * settings_.slots));
-  while (std::ranges::count_if(waiting_, in_rank) > waiting_max)
-    refuse(std::ranges::find_if(waiting_, in_rank), counts_.refused_full, out);
+  while (std::ranges::count_if(waiting_, in_rank) > waiting_max) {
+    const auto oldest = std::ranges::find_if(waiting_, in_rank);
+    refuse(oldest, counts_.refused_full, time_until_room(oldest->request), out);
+  }
 }
 
 bool admission_queue::precedes(const waiting_request& left, const waiting_request& right,
@@ -144,9 +193,10 @@
 }
 
 void admission_queue::start_free(time_point now, admission_actions& out) {
-  while (running_.size() < settings_.slots) {
+  while (running_.size() < settings_.slots && limit_.available(now)) {
     const auto candidate = next(now);
     if (candidate == waiting_.end()) return;
+    limit_.started(now);
     if (now >= candidate->request.deadline) ++counts_.started_late;
     ++counts_.started;
     const auto rank = candidate->request.rank;
--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -49,6 +49,9 @@
         "masticshunt_upstream_limit",
         "Requests a second that the upstream says it takes; -1 without a limit",
         [](const gauge_sources& sources) { return sources.gate.request_limit().value_or(-1); }},
+    gauge_definition{
+        "masticshunt_refused_limited_total", "Requests refused because of the upstream's limit",
+        [](const gauge_sources& sources) { return count(sources.gate.refused_limited()); }},
     gauge_definition{
         "masticshunt_upstream_connections_opened_total", "Connections opened to the upstream",
         [](const gauge_sources& sources) { return count(sources.gate.connections_opened()); }},
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -65,7 +65,8 @@
       metrics_(metrics),
       pool_(executor, {.idle_limit = idle_limit_default}),
       transfers_({.bytes_per_second = settings_.link_bytes_per_second}),
-      queue_(requests::admission_settings{}) {}
+      queue_(requests::admission_settings{}),
+      limit_timer_(executor) {}
 
 void gate_service::update_upstream(std::optional<routing::upstream_incarnation> incarnation,
                                    const std::string& service, std::uint32_t slots) {
@@ -73,6 +74,11 @@
     pool_.drop_idle(settings_.upstream);
     connect_failures_ = 0;
   }
+  if (incarnation && incarnation != last_incarnation_) {
+    if (last_incarnation_) queue_.reset_limit();
+    leaving_ = false;
+    last_incarnation_ = incarnation;
+  }
   incarnation_ = std::move(incarnation);
   service_ = service;
   if (slots == slots_) return;
@@ -134,6 +140,7 @@
       .add("running", queue_.running())
       .add("waiting", queue_.waiting())
       .add("slots", slots_);
+  if (queue_.limit()) text.add("limit", text_of(queue_.limit()));
   if (request.key && holder_ != nullptr)
     text.add("right_ms", holder_->lease_end() - now).add("gate_map", holder_->map().revision);
   return text.text();
@@ -174,6 +181,7 @@
       .add("waiting", queue_.waiting())
       .add("slots", slots_)
       .add("usual_ms", service_time_);
+  if (queue_.limit()) line.add("limit", text_of(queue_.limit()));
   if (request.key && holder_ != nullptr)
     line.add("map", holder_->map().revision)
         .add("entry_map", request.map_revision)
@@ -367,6 +375,19 @@
       found->second->refused = each.retry_after;
     found->second->changed.cancel();
   }
+  await_limit();
+}
+
+void gate_service::await_limit() {
+  const auto wait = queue_.limit_wait(boot_now());
+  if (!wait) return;
+  limit_timer_.expires_after(*wait);
+  limit_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    requests::admission_actions actions;
+    queue_.tick(boot_now(), actions);
+    carry_out(actions);
+  });
 }
 
 asio::awaitable<attempt_outcome> gate_service::send(std::shared_ptr<attempt> request) {
@@ -437,27 +458,35 @@
 }
 
 void gate_service::note_statements(const platform::answer_metadata& answer) {
+  note_limit(answer);
+  if (answer.leaving && !leaving_)
+    log_.line(support::line_class::process,
+              support::event_text("upstream_leaving").add("upstream", upstream_id()).text(),
+              boot_now());
+  leaving_ = answer.leaving;
+}
+
+void gate_service::note_limit(const platform::answer_metadata& answer) {
   const auto now = boot_now();
-  const auto id = upstream_id();
-  if (answer.request_limit_unreadable) {
+  if (answer.request_limit_unreadable && !answer.request_limit) {
     support::event_text line("upstream_limit_unreadable");
-    line.add("upstream", id);
+    line.add("upstream", upstream_id());
     log_.line(support::line_class::process, line.text(), now);
+    return;
   }
-  if (answer.request_limit != request_limit_) {
-    support::event_text line("upstream_limit");
-    line.add("upstream", id)
-        .add("per_second", text_of(answer.request_limit))
-        .add("before", text_of(request_limit_))
-        .add("running", queue_.running())
-        .add("waiting", queue_.waiting());
-    log_.line(support::line_class::process, line.text(), now);
-    request_limit_ = answer.request_limit;
-  }
-  if (answer.leaving && !leaving_)
-    log_.line(support::line_class::process,
-              support::event_text("upstream_leaving").add("upstream", id).text(), now);
-  leaving_ = answer.leaving;
+  const auto before = queue_.limit();
+  requests::admission_actions actions;
+  queue_.limit_answered(answer.request_limit, now, actions);
+  carry_out(actions);
+  if (queue_.limit() == before) return;
+  support::event_text line("upstream_limit");
+  line.add("upstream", upstream_id())
+      .add("per_second", text_of(queue_.limit()))
+      .add("before", text_of(before))
+      .add("running", queue_.running())
+      .add("waiting", queue_.waiting())
+      .add("refused", refused_limited());
+  log_.line(support::line_class::process, line.text(), now);
 }
 
 void gate_service::update_service_time(duration run_time) {
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -43,7 +43,8 @@
 /// Admits requests to the local upstream in the order of their ranks, and only while the upstream
 /// is present, accepts new requests, and holds the key of the request.
 ///
-/// All requests to the upstream pass through the gate, so a request that it refuses has not run.
+/// All requests to the upstream pass through the gate, so a request that it refuses has not run,
+/// and the gate alone keeps the limit that the upstream names.
 /// Life cycle: one instance per process. Thread safety: none.
 class gate_service {
  public:
@@ -82,7 +83,9 @@
   [[nodiscard]] const gate_counts& counts() const { return counts_; }
   /// Returns the requests a second that the upstream said it takes, or nothing if it names no
   /// limit.
-  [[nodiscard]] std::optional<double> request_limit() const { return request_limit_; }
+  [[nodiscard]] std::optional<double> request_limit() const { return queue_.limit(); }
+  /// Returns the number of requests refused because of that limit.
+  [[nodiscard]] std::uint64_t refused_limited() const { return queue_.counts().refused_limited; }
   /// Returns the number of requests started after their deadline. A value above zero is a
   /// violation.
   [[nodiscard]] std::uint64_t started_late() const { return queue_.counts().started_late; }
@@ -122,9 +125,12 @@
   attempt_outcome classify(const attempt& request, exchange_outcome exchange);
   /// Takes note of what the upstream says of itself in an answer.
   void note_statements(const platform::answer_metadata& answer);
+  void note_limit(const platform::answer_metadata& answer);
   [[nodiscard]] std::optional<attempt_outcome> refusal_if_closed(const attempt& request,
                                                                  time_point now) const;
   void carry_out(const requests::admission_actions& actions);
+  /// Continues when the upstream's limit lets the next waiting request start.
+  void await_limit();
   void update_service_time(duration run_time);
   /// Returns the state of the gate that explains a refusal of `request`, for the log events of the
   /// ingress agent and the gate.
@@ -157,7 +163,8 @@
   std::uint32_t connect_failures_ = 0;
   std::uint32_t retries_running_ = 0;
   gate_counts counts_;
-  std::optional<double> request_limit_;
+  boost::asio::steady_timer limit_timer_;
+  std::optional<routing::upstream_incarnation> last_incarnation_;  ///< Also while it is absent.
   bool leaving_ = false;  ///< The upstream's latest answer said so.
 };
 
--- a/tests/decisions/requests/admission_queue_test.cpp
+++ b/tests/decisions/requests/admission_queue_test.cpp
@@ -196,3 +196,86 @@
   expect_false(f.has_started(abandoned));
   expect_equal(f.queue.waiting(), 0U);
 }
+
+namespace {
+
+/// A queue whose upstream named a limit of `per_second`.
+struct limited_queue : queue_fixture {
+  explicit limited_queue(double per_second) { name(per_second); }
+  void name(std::optional<double> per_second) {
+    admission_actions out;
+    queue.limit_answered(per_second, now, out);
+    record(out);
+  }
+  /// Offers `count` requests at once. Returns how many of them were refused at once.
+  std::size_t refused_of(int count, std::uint32_t rank = 0) {
+    const auto before = refused.size();
+    for (int i = 0; i < count; ++i) offer(rank);
+    return refused.size() - before;
+  }
+};
+
+}  // namespace
+
+Test(admission_queue, starts_no_more_than_the_upstream_takes_though_slots_are_free) {
+  limited_queue fixture(10);
+  fixture.refused_of(20);
+  const time_point end = fixture.now + seconds{1};
+  std::size_t most_at_once = 0;
+  for (; fixture.now < end; fixture.now += milliseconds{10}) {
+    const auto before = fixture.started.size();
+    fixture.refused_of(1);
+    fixture.tick();
+    most_at_once = std::max(most_at_once, fixture.started.size() - before);
+    for (const auto id : std::vector(fixture.started)) fixture.finish(id);
+  }
+  expect_equal(fixture.started.size(), std::size_t{9});
+  expect_equal(most_at_once, std::size_t{1});
+}
+
+Test(admission_queue, refuses_at_once_what_would_start_too_late_under_the_limit) {
+  limited_queue fixture(10);
+  // Starts are expected after 100 ms and 200 ms; the third would be too late for its 250 ms.
+  expect_equal(fixture.refused_of(3), std::size_t{1});
+  expect_true(fixture.started.empty());
+}
+
+Test(admission_queue, refuses_the_least_urgent_under_the_limit) {
+  limited_queue fixture(10);
+  const auto less_urgent = fixture.offer(1);
+  fixture.offer(0);
+  expect_true(fixture.refused.empty());
+  fixture.offer(0);
+  expect_equal(fixture.refused.size(), std::size_t{1});
+  expect_equal(fixture.refused.front(), less_urgent);
+}
+
+Test(admission_queue, states_when_the_limit_has_room_again) {
+  limited_queue fixture(10);
+  admission_actions out;
+  for (admission_id id = 1; id <= 3; ++id)
+    fixture.queue.offer({.id = id,
+                         .target = milliseconds{250},
+                         .target_time = fixture.now + milliseconds{250},
+                         .deadline = fixture.now + seconds{1}},
+                        fixture.now, out);
+  expect_equal(out.size(), std::size_t{1});
+  expect_true(out.front().retry_after == milliseconds{300});
+}
+
+Test(admission_queue, requests_that_waited_start_when_the_limit_ends) {
+  limited_queue fixture(1);
+  fixture.offer(0, milliseconds{250}, milliseconds{5'000});
+  fixture.offer(0, milliseconds{2'500}, milliseconds{5'000});
+  fixture.now += milliseconds{600};
+  fixture.name(std::nullopt);
+  expect_equal(fixture.started.size(), std::size_t{1});
+}
+
+Test(admission_queue, tells_when_the_limit_lets_the_next_request_start) {
+  limited_queue fixture(10);
+  expect_false(fixture.queue.limit_wait(fixture.now).has_value());
+  fixture.offer();
+  expect_true(fixture.queue.limit_wait(fixture.now) == milliseconds{100});
+  expect_true(fixture.queue.expected_limit_wait(fixture.now) == milliseconds{200});
+}
--- /dev/null
+++ b/tests/fleet/gate_test.cpp
@@ -0,0 +1,171 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "expect.h"
+#include "fleet/internal/gate_service.h"
+#include "fleet/loopback.h"
+#include "masticshunt/support/clock.h"
+
+using namespace masticshunt;
+using namespace masticshunt::fleet;
+using namespace masticshunt::testing;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const routing::upstream_incarnation first_incarnation{"i-1", 1'000};
+
+/// A gate before an upstream that answers each request after `work` with `headers`.
+class gate_fixture {
+ public:
+  explicit gate_fixture(std::uint32_t slots = 12)
+      : upstream_(context_.get_executor(), [this](auto request) { answer(std::move(request)); }),
+        log_(-1, "vm-1"),
+        gate_(context_.get_executor(), {.upstream = loopback_net() + "1:7510"}, log_, metrics_) {
+    expect_equal(upstream_.start(gate_.upstream()), "");
+    gate_.update_upstream(first_incarnation, "ledger", slots);
+  }
+
+  /// Offers a request every `interval` for `span`.
+  void offer_every(duration interval, duration span) {
+    asio::co_spawn(context_, offer_requests(interval, span), asio::detached);
+    context_.run_for(span);
+  }
+  /// Offers one request. Returns its outcome.
+  attempt_outcome offer(const std::function<void(attempt&)>& adapt = [](attempt&) {}) {
+    attempt_outcome outcome;
+    const auto run = [&]() -> asio::awaitable<void> {
+      outcome = co_await gate_.serve(request(adapt));
+      context_.stop();
+    };
+    context_.restart();
+    asio::co_spawn(context_, run(), asio::detached);
+    context_.run();
+    context_.restart();
+    return outcome;
+  }
+
+  std::string headers;  ///< Header lines of the upstream's answers.
+  duration work = milliseconds{20};
+  std::size_t arrived = 0;
+  std::vector<attempt_outcome> outcomes;
+
+  gate_service& gate() { return gate_; }
+
+ private:
+  std::shared_ptr<attempt> request(const std::function<void(attempt&)>& adapt) {
+    auto result = std::make_shared<attempt>();
+    const auto now = boot_now();
+    result->id = std::to_string(++last_id_);
+    result->method = "GET";
+    result->target = "/";
+    result->headers = "X-Request-Id: " + result->id + "\r\n";
+    result->service = "ledger";
+    result->latency_target = milliseconds{250};
+    result->target_time = now + milliseconds{250};
+    result->deadline = now + seconds{1};
+    result->cancel = &never_cancelled_;
+    adapt(*result);
+    return result;
+  }
+  asio::awaitable<void> offer_requests(duration interval, duration span) {
+    const auto end = boot_now() + span;
+    asio::steady_timer timer(context_);
+    while (boot_now() < end) {
+      asio::co_spawn(
+          context_, gate_.serve(request([](attempt&) {})),
+          [this](const auto&, attempt_outcome outcome) { outcomes.push_back(std::move(outcome)); });
+      timer.expires_after(interval);
+      co_await timer.async_wait(asio::use_awaitable);
+      gate_.tick(boot_now());
+    }
+  }
+  void answer(std::shared_ptr<server_request> request) {
+    ++arrived;
+    auto timer = std::make_shared<asio::steady_timer>(context_, work);
+    timer->async_wait([this, timer, request](const auto&) {
+      const auto id = request->head["X-Request-Id"];
+      request->respond({.headers = "X-Request-Id: " + std::string(id) +
+                                   "\r\nX-Response-Signature: s\r\n" + headers,
+                        .text = "body"});
+    });
+  }
+
+  asio::io_context context_;
+  http_server upstream_;
+  support::event_log log_;
+  support::metrics_registry metrics_;
+  gate_service gate_;
+  cancellation never_cancelled_;
+  int last_id_ = 0;
+};
+
+}  // namespace
+
+Test(gate, sends_no_more_than_the_upstream_says_it_takes) {
+  gate_fixture fixture;
+  fixture.headers = "Server-Limit: 10\r\n";
+  constexpr double limit = 10;
+  constexpr double allowed = 1.5 * limit * 4 + 5;
+  fixture.offer_every(milliseconds{10}, seconds{4});
+  expect_true(static_cast<double>(fixture.arrived) <= allowed, std::to_string(fixture.arrived));
+  expect_true(static_cast<double>(fixture.arrived) >= limit * 3, std::to_string(fixture.arrived));
+}
+
+Test(gate, learns_by_trials_that_a_limit_of_zero_has_ended) {
+  gate_fixture fixture;
+  fixture.headers = "Server-Limit: 0\r\n";
+  fixture.offer_every(milliseconds{20}, seconds{1});
+  fixture.headers = "";
+  fixture.arrived = 0;
+  fixture.offer_every(milliseconds{20}, seconds{4});
+  expect_true(!fixture.gate().request_limit());
+  expect_true(fixture.arrived > 50, std::to_string(fixture.arrived));
+}
+
+Test(gate, refuses_at_once_as_not_run_what_the_limit_leaves_no_room_for) {
+  gate_fixture fixture;
+  fixture.headers = "Server-Limit: 1\r\n";
+  fixture.offer();
+  const auto began = boot_now();
+  fixture.offer();
+  const auto outcome = fixture.offer();
+  expect_true(outcome.result == attempt_result::not_run);
+  expect_true(outcome.why == refusal::overloaded);
+  expect_true(outcome.retry_after > milliseconds{500}, std::to_string(outcome.retry_after.count()));
+  expect_true(boot_now() - began < milliseconds{100});
+}
+
+Test(gate, ignores_a_limit_that_is_no_number_and_keeps_the_one_before) {
+  gate_fixture fixture;
+  fixture.headers = "Server-Limit: many\r\n";
+  fixture.offer();
+  expect_true(!fixture.gate().request_limit());
+  fixture.headers = "Server-Limit: 40\r\n";
+  fixture.offer();
+  fixture.headers = "Server-Limit: -1\r\n";
+  fixture.offer();
+  expect_true(fixture.gate().request_limit() == 40.0);
+}
+
+Test(gate, another_incarnation_is_not_bound_by_the_limit_of_the_one_before) {
+  gate_fixture fixture;
+  fixture.headers = "Server-Limit: 0\r\n";
+  fixture.offer();
+  fixture.gate().update_upstream(std::nullopt, "ledger", 12);
+  fixture.gate().update_upstream(first_incarnation, "ledger", 12);
+  expect_true(fixture.gate().request_limit() == 0.0);
+  fixture.gate().update_upstream(routing::upstream_incarnation{"i-1", 2'000}, "ledger", 12);
+  expect_true(!fixture.gate().request_limit());
+}
--- a/tests/fleet/state_in_force_test.cpp
+++ b/tests/fleet/state_in_force_test.cpp
@@ -10,6 +10,7 @@
 
 #include "expect.h"
 #include "fleet/internal/agent_process.h"
+#include "fleet/loopback.h"
 #include "process_soak/store.h"
 
 using namespace masticshunt;
@@ -19,7 +20,6 @@
 
 namespace {
 
-constexpr std::string_view loopback_net = "127.77.";
 /// The time in which a confirmed change must be in force.
 constexpr duration config_bound = std::chrono::seconds{2};
 
@@ -36,11 +36,11 @@
 class small_fleet {
  public:
   explicit small_fleet(std::size_t agents) : store_(context_.get_executor(), 1) {
-    const std::string net(loopback_net);
-    const endpoint store_address = net + "9.1:7500";
+    const std::string net = loopback_net();
+    const endpoint store_address = net + "1:7500";
     expect_equal(store_.start(store_address), "");
     for (const auto i : std::views::iota(std::size_t{1}, agents + 1)) {
-      const std::string ip = net + "1." + std::to_string(i);
+      const std::string ip = net + std::to_string(first_agent + i);
       fleet_settings settings{.name = "vm-" + std::to_string(i),
                               .ip = ip,
                               .zone = "zone",
@@ -50,7 +50,7 @@
                               .upstream_heartbeats = ip + ":7503",
                               .peer_port = 7504,
                               .metrics_port = 7505,
-                              .upstream = net + "2." + std::to_string(i) + ":7510",
+                              .upstream = ip + ":7510",
                               .service = "ledger",
                               .store = store_address};
       store_.put("masticshunt-upstreams", settings.name,
@@ -78,6 +78,8 @@
   }
 
  private:
+  static constexpr std::size_t first_agent = 10;
+
   asio::io_context context_;
   process_soak::store store_;
   std::vector<std::unique_ptr<agent_process>> agents_;
