Let agents and leaders know the limits that upstreams name

Cause: the gate kept the limit, but nobody else knew it: agents went on sending to limited upstreams, and the leader compared load with slots that a limited upstream can't use, so keys stayed where they were refused. Change: the load report between agents carries the limit and the wait for it, which counts as time in the choice of an upstream; an owner reports to its leader only the slots that the limit lets it keep busy. A request states the limit that its agent was told of, so that the gate of a restarted agent keeps it before the upstream's first answer. Tests: upstream_directory (2), gate (2), headers between agents (2; agents that send no limit are read).

--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -117,6 +117,8 @@
   void set_candidates(std::vector<endpoint> candidates) { candidates_ = std::move(candidates); }
   /// Sets the load that the next report contains.
   void set_load(std::vector<key_load> loads, duration service_time);
+  /// Sets how many requests the upstream can run at once at present, for the next report.
+  void set_slots(std::uint32_t slots) { slots_ = slots; }
   /// Applies a map from any source if it is newer than the current one.
   void map_seen(const claim_map& map, time_point now);
   /// The store answered a call about the lease record that was sent at `sent`.
--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -50,6 +50,9 @@
   std::uint32_t slots = 1;
   duration service_time{};  ///< Mean time of one request; zero if unknown.
   duration ran_for{};       ///< Time of the answered request; zero if it did not run.
+  /// Requests a second that the upstream takes from all agents together, if it names a limit.
+  std::optional<double> request_limit;
+  duration limit_wait{};  ///< How long a further request would wait for that limit.
 };
 
 /// Expected size and cost of a request, for the choice of an upstream.
@@ -77,6 +80,7 @@
   duration failure_penalty = std::chrono::milliseconds{600};  ///< At a failure share of 1.
   duration failure_half_life = std::chrono::seconds{2};       ///< Upstreams may recover.
   duration load_report_half_life = std::chrono::milliseconds{400};
+  duration limit_memory = std::chrono::seconds{3};  ///< How long a named limit counts.
   duration first_ejection = std::chrono::milliseconds{200};
   duration longest_ejection = std::chrono::seconds{2};
   duration warm_up = std::chrono::seconds{3};  ///< A new upstream is assumed to be slow this long.
@@ -120,6 +124,9 @@
   /// Returns false while an agent is ejected because it was unreachable.
   [[nodiscard]] bool reachable(std::string_view agent, time_point now) const;
 
+  /// Returns the limit that the upstream of `agent` named lately, in requests a second, or nothing.
+  [[nodiscard]] std::optional<double> request_limit(std::string_view agent, time_point now) const;
+
   /// Records that an attempt was sent.
   void sent(std::string_view agent);
   /// Records how an attempt ended, with the load reported in the answer if there was one.
@@ -142,6 +149,7 @@
   [[nodiscard]] double cost(const member& upstream, const request_estimate& request,
                             time_point now) const;
   [[nodiscard]] double failure_share(const member& upstream, time_point now) const;
+  [[nodiscard]] double limit_wait(const member& upstream, time_point now) const;
   member* find_member(std::string_view agent);
 
   std::string zone_;
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -111,10 +111,27 @@
   const double rounds_ahead = std::max(0.0, queue / std::max(1U, upstream.published.slots) - 1);
   const bool warming = now - upstream.added_at < settings_.warm_up;
   const double work = seconds(service_time) * (rounds_ahead + request.work_ratio);
-  return seconds(network_delay) + transfer_time + work * (warming ? settings_.warm_up_factor : 1) +
+  return seconds(network_delay) + transfer_time + limit_wait(upstream, now) +
+         work * (warming ? settings_.warm_up_factor : 1) +
          failure_share(upstream, now) * seconds(settings_.failure_penalty);
 }
 
+double upstream_directory::limit_wait(const member& upstream, time_point now) const {
+  const duration age = now - upstream.reported_at;
+  if (!upstream.load.request_limit || age > settings_.limit_memory) return 0;
+  constexpr double lowest_rate = 0.1;  // keeps the estimate finite under a limit of zero
+  const double rate = std::max(*upstream.load.request_limit, lowest_rate);
+  return std::max(0.0, seconds(upstream.load.limit_wait - age) + upstream.sent_since_report / rate);
+}
+
+std::optional<double> upstream_directory::request_limit(std::string_view agent,
+                                                        time_point now) const {
+  const auto found = members_.find(agent);
+  if (found == members_.end() || now - found->second.reported_at > settings_.limit_memory)
+    return std::nullopt;
+  return found->second.load.request_limit;
+}
+
 std::optional<std::string> upstream_directory::choose(std::string_view service,
                                                       const std::vector<std::string>& tried,
                                                       double draw, time_point now,
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -231,7 +231,7 @@
     const bool present = upstream_.watch().confirmed() && upstream_.watch().present(now);
     const bool not_draining = !upstream_.watch().draining_since();
     claims_.update_upstream(present ? std::optional(heartbeat->incarnation) : std::nullopt,
-                            heartbeat->service, not_draining, heartbeat->slots,
+                            heartbeat->service, not_draining, gate_.usable_slots(),
                             upstream_.watch().last_heartbeat_at(), now);
   }
   for (const auto& [name, service] : view_.routes().state().services)
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <sstream>
 
+#include "masticshunt/support/units.h"
 #include "platform/headers.h"
 
 namespace masticshunt::fleet {
@@ -76,6 +77,18 @@
   return text == absent ? std::string{} : text;
 }
 
+std::string number_or_absent(const std::optional<double>& number) {
+  return number ? std::to_string(*number) : std::string(absent);
+}
+
+/// Reads a limit, which agents of earlier versions do not send.
+std::optional<double> limit_in(std::istringstream& in) {
+  std::string token;
+  if (!(in >> token)) return std::nullopt;
+  const auto limit = support::number_from(token);
+  return limit && *limit >= 0 ? limit : std::nullopt;
+}
+
 std::istringstream tokens_of(const fields& from, std::string_view name) {
   const auto found = from.find(beast_view(name));
   return std::istringstream(found == from.end() ? std::string{}
@@ -149,7 +162,8 @@
       << ' ' << (request.idempotent ? 1 : 0) << ' ' << (request.retry ? 1 : 0) << ' '
       << token_or_absent(request.service) << ' ' << token_or_absent(request.caller_service) << ' '
       << (request.key ? std::to_string(*request.key) : std::string(absent)) << ' '
-      << request.state_version << ' ' << request.map_revision << "\r\n";
+      << request.state_version << ' ' << request.map_revision << ' '
+      << number_or_absent(request.request_limit) << "\r\n";
   return out.str();
 }
 
@@ -166,6 +180,7 @@
       request.service >> request.caller_service >> key >> request.state_version >>
       request.map_revision;
   if (!in || remaining < 0) return false;
+  request.request_limit = limit_in(in);
   request.deadline = now + milliseconds{remaining};
   request.target_time = now + milliseconds{target_remaining};
   request.latency_target = milliseconds{target};
@@ -187,7 +202,9 @@
   std::ostringstream out;
   out << load_name << ": " << load.running << ' ' << load.waiting << ' ' << load.slots << ' '
       << std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count() << ' '
-      << std::chrono::duration_cast<std::chrono::microseconds>(load.ran_for).count() << "\r\n";
+      << std::chrono::duration_cast<std::chrono::microseconds>(load.ran_for).count() << ' '
+      << number_or_absent(load.request_limit) << ' '
+      << std::chrono::duration_cast<std::chrono::microseconds>(load.limit_wait).count() << "\r\n";
   return out.str();
 }
 
@@ -220,6 +237,10 @@
   if (load >> report.running >> report.waiting >> report.slots >> service_us >> ran_us) {
     report.service_time = std::chrono::microseconds{service_us};
     report.ran_for = std::chrono::microseconds{ran_us};
+    report.request_limit = limit_in(load);
+    std::int64_t limit_wait_us = 0;
+    if (report.request_limit && load >> limit_wait_us)
+      report.limit_wait = std::chrono::microseconds{limit_wait_us};
     answer.load = report;
   }
   auto versions = tokens_of(from, version_name);
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -37,7 +37,9 @@
   time_point deadline;
   std::uint64_t state_version = 0;  ///< Version of the ingress agent's desired state.
   std::uint64_t map_revision = 0;   ///< Revision of the ingress agent's claim map.
-  cancellation* cancel = nullptr;   ///< Not null while the request is served.
+  /// Requests a second that the upstream takes as far as the ingress agent was told, if limited.
+  std::optional<double> request_limit;
+  cancellation* cancel = nullptr;  ///< Not null while the request is served.
 };
 
 /// The result of an attempt.
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -74,6 +74,7 @@
     if (now >= next_load_update_) {
       next_load_update_ = now + load_update_interval;
       holder_->set_load(gate_.key_loads(now), gate_.service_time());
+      holder_->set_slots(gate_.usable_slots());
     }
     for (const auto& action : holder_->tick(now)) carry_out(action);
     heartbeats_.tick(*holder_, now);
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <cstdio>
 
 #include "masticshunt/support/clock.h"
@@ -98,7 +99,17 @@
   return {.running = static_cast<std::uint32_t>(queue_.running()),
           .waiting = static_cast<std::uint32_t>(queue_.waiting()),
           .slots = slots_,
-          .service_time = service_time_};
+          .service_time = service_time_,
+          .request_limit = queue_.limit(),
+          .limit_wait = queue_.expected_limit_wait(boot_now())};
+}
+
+std::uint32_t gate_service::usable_slots() const {
+  const auto limit = queue_.limit();
+  if (!limit || service_time_ == duration{}) return slots_;
+  const double busy = *limit * std::chrono::duration<double>(service_time_).count();
+  return std::clamp(static_cast<std::uint32_t>(std::lround(std::min<double>(busy, slots_))), 1U,
+                    slots_);
 }
 
 double gate_service::retry_share() const {
@@ -193,6 +204,7 @@
 asio::awaitable<attempt_outcome> gate_service::admit_and_send(std::shared_ptr<attempt> request,
                                                               std::optional<time_point>& began) {
   ++counts_.offered;
+  if (request->request_limit) queue_.limit_learned(*request->request_limit, boot_now());
   auto refusal_outcome = refusal_if_closed(*request, boot_now());
   if (!refusal_outcome && request->key && holder_ != nullptr) {
     refusal_outcome = co_await await_key(request);
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -74,6 +74,8 @@
 
   /// Returns the load report for peers.
   [[nodiscard]] routing::load_report load() const;
+  /// Returns the slots that requests can keep busy: under a limit fewer than the upstream has.
+  [[nodiscard]] std::uint32_t usable_slots() const;
   /// Returns the load of subranges of the held keys.
   [[nodiscard]] std::vector<claims::key_load> key_loads(time_point now);
   /// Returns the share of retries among the running requests.
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -270,6 +270,7 @@
                                                       const std::string& agent) {
   state.outgoing->state_version = view_.routes().version();
   state.outgoing->retry = state.reached > 0;
+  state.outgoing->request_limit = view_.directory.request_limit(agent, boot_now());
   if (agent == settings_.name) {
     view_.directory.sent(agent);
     auto outcome = co_await gate_.serve(state.outgoing);
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -140,3 +140,33 @@
   auto upstreams = directory();
   expect_false(upstreams.put(registered("near", "n1"), start));
 }
+
+namespace {
+
+load_report limited_load(double per_second, duration wait) {
+  load_report load{.slots = 4, .service_time = milliseconds{60}};
+  load.request_limit = per_second;
+  load.limit_wait = wait;
+  return load;
+}
+
+}  // namespace
+
+Test(upstream_directory, an_upstream_whose_limit_has_no_room_diverts_requests) {
+  auto upstreams = directory();
+  upstreams.sent("near");
+  upstreams.ended("near", attempt_health::good, limited_load(5, milliseconds{300}), start);
+  expect_equal(chosen(upstreams), "mid");
+  expect_equal(chosen(upstreams, {}, start + milliseconds{300}), "near");
+  upstreams.sent("near");
+  expect_equal(chosen(upstreams, {}, start + milliseconds{300}), "mid");
+}
+
+Test(upstream_directory, a_limit_counts_until_a_report_without_it_or_for_a_few_seconds) {
+  auto upstreams = directory();
+  upstreams.ended("near", attempt_health::good, limited_load(5, {}), start);
+  expect_true(upstreams.request_limit("near", start + seconds{3}) == 5.0);
+  expect_false(upstreams.request_limit("near", start + seconds{4}).has_value());
+  upstreams.ended("near", attempt_health::good, load_report{.slots = 4}, start + seconds{1});
+  expect_false(upstreams.request_limit("near", start + seconds{1}).has_value());
+}
--- a/tests/fleet/attempt_test.cpp
+++ b/tests/fleet/attempt_test.cpp
@@ -37,7 +37,8 @@
                      .target_time = now + milliseconds{200},
                      .deadline = now + milliseconds{900},
                      .state_version = 7,
-                     .map_revision = 8};
+                     .map_revision = 8,
+                     .request_limit = 12.5};
   attempt read;
   expect_true(read_forwarding_header(fields_of(forwarding_header(sent, now)), now, read));
   expect_equal(read.service, "ledger");
@@ -48,6 +49,14 @@
   expect_true(read.deadline == sent.deadline && read.target_time == sent.target_time);
   expect_true(read.latency_target == sent.latency_target);
   expect_equal(read.map_revision, 8U);
+  expect_true(read.request_limit == 12.5);
+}
+
+Test(forwarding_header, of_an_agent_that_knows_no_limits_is_read) {
+  attempt read;
+  const auto from = fields_of("Masticshunt-Hop: 900 200 250 2 1 0 ledger viewer - 7 8\r\n");
+  expect_true(read_forwarding_header(from, now, read));
+  expect_false(read.request_limit.has_value());
 }
 
 Test(forwarding_header, a_missing_or_malformed_header_is_rejected) {
@@ -72,6 +81,15 @@
   expect_true(read.load->service_time == milliseconds{60});
 }
 
+Test(peer_answer, carries_the_limit_of_the_upstream_and_the_wait_for_it) {
+  const routing::load_report load{.request_limit = 0, .limit_wait = milliseconds{700}};
+  const auto read = read_peer_answer_headers(fields_of(load_header(load)));
+  expect_true(read.load->request_limit == 0.0);
+  expect_true(read.load->limit_wait == milliseconds{700});
+  const auto unlimited = read_peer_answer_headers(fields_of(load_header({})));
+  expect_false(unlimited.load->request_limit.has_value());
+}
+
 Test(peer_answer, a_refusal_is_read_as_it_was_sent) {
   auto outcome = refused(refusal::not_owner, milliseconds{70});
   outcome.owner = owner_hint{{{10, 20}, {"vm-2", 0}, {}, 9, ""}, 33};
--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -169,3 +169,20 @@
   fixture.gate().update_upstream(routing::upstream_incarnation{"i-1", 2'000}, "ledger", 12);
   expect_true(!fixture.gate().request_limit());
 }
+
+Test(gate, keeps_after_a_restart_the_limit_that_other_agents_were_told) {
+  gate_fixture fixture;
+  const auto told = [](attempt& request) { request.request_limit = 0.5; };
+  expect_true(fixture.offer(told).why == refusal::overloaded);
+  expect_equal(fixture.arrived, std::size_t{0});
+}
+
+Test(gate, offers_the_leader_only_the_slots_that_a_limit_lets_it_use) {
+  gate_fixture fixture;
+  fixture.work = milliseconds{100};
+  fixture.offer();
+  expect_equal(fixture.gate().usable_slots(), 12U);
+  fixture.headers = "Server-Limit: 30\r\n";
+  fixture.offer();
+  expect_equal(fixture.gate().usable_slots(), 3U);
+}
