Believe an upstream that says in its answers that it leaves

What callers and upstreams could see: an upstream whose answers say that it leaves, while its heartbeats still say that it is ready, went on getting requests until it ended (DRAIN). Cause: nothing acted on the header. Change: the first such answer starts the drain of that incarnation, as a heartbeat would: the gate closes in time, keys are released, the registration says draining. Later heartbeats do not take it back, a new incarnation does; an answer that comes after a new incarnation has taken over is not counted for it. The load report names the incarnation that leaves, and agents remember it, so that the restart of an agent beside the upstream forgets nothing.

--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -53,6 +53,7 @@
   /// Requests a second that the upstream takes from all agents together, if it names a limit.
   std::optional<double> request_limit;
   duration limit_wait{};  ///< How long a further request would wait for that limit.
+  std::optional<upstream_incarnation> leaving;  ///< The incarnation, if it drains or leaves.
 };
 
 /// Expected size and cost of a request, for the choice of an upstream.
@@ -121,6 +122,9 @@
                                                   const std::vector<std::string>& tried,
                                                   double draw, time_point now,
                                                   const request_estimate& request = {}) const;
+  /// Returns when a report said that the upstream of `agent` leaves, or nothing. A new incarnation
+  /// takes that back, a report without it does not: its agent may have restarted.
+  [[nodiscard]] std::optional<time_point> leaving_since(std::string_view agent) const;
   /// Returns false while an agent is ejected because it was unreachable.
   [[nodiscard]] bool reachable(std::string_view agent, time_point now) const;
 
@@ -145,6 +149,7 @@
     time_point failure_updated_at{};
     std::uint32_t consecutive_unreachable = 0;
     time_point ejected_until{};
+    std::optional<time_point> leaving_since;
   };
   [[nodiscard]] double cost(const member& upstream, const request_estimate& request,
                             time_point now) const;
--- a/include/masticshunt/decisions/routing/upstream_watch.h
+++ b/include/masticshunt/decisions/routing/upstream_watch.h
@@ -23,9 +23,9 @@
 /// Tracks the incarnations of the local upstream by its heartbeats.
 ///
 /// Heartbeats may arrive late, also those of an earlier incarnation: an older incarnation, or a
-/// lower sequence of the same incarnation, is ignored. An incarnation that reported that it drains
-/// or is gone does not become ready again, even if that was the first message received from it.
-/// Thread safety: none.
+/// lower sequence of the same incarnation, is ignored. An incarnation that said that it drains,
+/// leaves or is gone does not become ready again, even if that was the first message received from
+/// it. Thread safety: none.
 class upstream_watch {
  public:
   /// Without a heartbeat for `timeout`, the upstream counts as gone.
@@ -35,6 +35,9 @@
   bool heartbeat_received(const upstream_heartbeat& heartbeat, time_point now);
   /// The upstream `id` reported that it is gone. Returns false if it is not the current one.
   bool gone(const std::string& id, time_point now);
+  /// `incarnation` said in an answer to a request that it leaves: from now on it drains, whatever
+  /// its heartbeats say. Returns false if it is not the current one, or drained already.
+  bool leaving(const upstream_incarnation& incarnation, time_point now);
   /// Applies the registration that an earlier process on this VM published last, until the first
   /// heartbeat arrives.
   void restore(const registration& published);
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -140,7 +140,7 @@
   for (const auto& [name, upstream] : members_) {
     if (upstream.published.service != service || upstream.published.stage != upstream_stage::ready)
       continue;
-    if (upstream.published.incarnation.id.empty()) continue;
+    if (upstream.published.incarnation.id.empty() || upstream.leaving_since) continue;
     double total = cost(upstream, request, now);
     if (now < upstream.ejected_until) total += ejected_penalty_s;
     if (std::ranges::find(tried, name) != tried.end()) total += tried_penalty_s;
@@ -161,6 +161,11 @@
   return found != members_.end() && now >= found->second.ejected_until;
 }
 
+std::optional<time_point> upstream_directory::leaving_since(std::string_view agent) const {
+  const auto found = members_.find(agent);
+  return found == members_.end() ? std::nullopt : found->second.leaving_since;
+}
+
 upstream_directory::member* upstream_directory::find_member(std::string_view agent) {
   const auto found = members_.find(agent);
   return found == members_.end() ? nullptr : &found->second;
@@ -182,6 +187,8 @@
     upstream->load = *load;
     upstream->reported_at = now;
     upstream->sent_since_report = 0;
+    if (load->leaving == upstream->published.incarnation && !upstream->leaving_since)
+      upstream->leaving_since = now;
   } else if (upstream->sent_since_report > 0) {
     --upstream->sent_since_report;
   }
--- a/src/decisions/routing/upstream_watch.cpp
+++ b/src/decisions/routing/upstream_watch.cpp
@@ -51,6 +51,13 @@
   return true;
 }
 
+bool upstream_watch::leaving(const upstream_incarnation& incarnation, time_point now) {
+  if (!last_heartbeat_ || last_heartbeat_->incarnation != incarnation || draining_since_)
+    return false;
+  draining_since_ = now;
+  return true;
+}
+
 void upstream_watch::restore(const registration& published) {
   if (last_heartbeat_ || published.incarnation.id.empty()) return;
   last_heartbeat_ = upstream_heartbeat{.incarnation = published.incarnation,
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -204,7 +204,9 @@
       << std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count() << ' '
       << std::chrono::duration_cast<std::chrono::microseconds>(load.ran_for).count() << ' '
       << number_or_absent(load.request_limit) << ' '
-      << std::chrono::duration_cast<std::chrono::microseconds>(load.limit_wait).count() << "\r\n";
+      << std::chrono::duration_cast<std::chrono::microseconds>(load.limit_wait).count();
+  if (load.leaving) out << ' ' << load.leaving->start_ms << ' ' << load.leaving->id;
+  out << "\r\n";
   return out.str();
 }
 
@@ -239,8 +241,9 @@
     report.ran_for = std::chrono::microseconds{ran_us};
     report.request_limit = limit_in(load);
     std::int64_t limit_wait_us = 0;
-    if (report.request_limit && load >> limit_wait_us)
-      report.limit_wait = std::chrono::microseconds{limit_wait_us};
+    if (load >> limit_wait_us) report.limit_wait = std::chrono::microseconds{limit_wait_us};
+    routing::upstream_incarnation leaving;
+    if (load >> leaving.start_ms >> leaving.id) report.leaving = std::move(leaving);
     answer.load = report;
   }
   auto versions = tokens_of(from, version_name);
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -77,7 +77,6 @@
   }
   if (incarnation && incarnation != last_incarnation_) {
     if (last_incarnation_) queue_.reset_limit();
-    leaving_ = false;
     last_incarnation_ = incarnation;
   }
   incarnation_ = std::move(incarnation);
@@ -101,7 +100,8 @@
           .slots = slots_,
           .service_time = service_time_,
           .request_limit = queue_.limit(),
-          .limit_wait = queue_.expected_limit_wait(boot_now())};
+          .limit_wait = queue_.expected_limit_wait(boot_now()),
+          .leaving = draining_since_ ? incarnation_ : std::nullopt};
 }
 
 std::uint32_t gate_service::usable_slots() const {
@@ -408,9 +408,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(request->deadline - now);
   if (remaining < std::chrono::milliseconds{1}) co_return refused(refusal::overloaded);
   if (draining_since_ && now > *draining_since_ + settings_.drain) ++counts_.sent_after_drain;
+  const auto incarnation = *incarnation_;
   exchange_request http_request{
       .head = request->method + ' ' + request->target + " HTTP/1.1\r\n" + request->headers +
-              platform::upstream_headers(remaining, incarnation_->id, request->caller_service),
+              platform::upstream_headers(remaining, incarnation.id, request->caller_service),
       .body = request->body,
       .is_head = request->method == "HEAD",
       .id = request->id,
@@ -420,10 +421,11 @@
   auto exchange =
       co_await run_exchange(pool_, settings_.upstream, std::move(http_request), *request->cancel);
   connect_failures_ = exchange.result == exchange_result::not_connected ? connect_failures_ + 1 : 0;
-  co_return classify(*request, std::move(exchange));
+  co_return classify(*request, std::move(exchange), incarnation);
 }
 
-attempt_outcome gate_service::classify(const attempt& request, exchange_outcome exchange) {
+attempt_outcome gate_service::classify(const attempt& request, exchange_outcome exchange,
+                                       const routing::upstream_incarnation& incarnation) {
   attempt_outcome outcome{.reached_upstream = exchange.result != exchange_result::not_connected,
                           .detail = std::move(exchange.detail)};
   switch (exchange.result) {
@@ -444,7 +446,7 @@
       break;
   }
   const auto metadata = platform::read_answer_metadata(exchange.status, exchange.head);
-  if (!metadata.wrong_incarnation) note_statements(metadata);
+  note_statements(metadata, incarnation);
   if (metadata.not_run) {
     outcome.result = attempt_result::not_run;
     outcome.why = refusal::shed;
@@ -469,13 +471,12 @@
   return outcome;
 }
 
-void gate_service::note_statements(const platform::answer_metadata& answer) {
+void gate_service::note_statements(const platform::answer_metadata& answer,
+                                   const routing::upstream_incarnation& incarnation) {
+  // An answer may come after another incarnation has taken over.
+  if (answer.wrong_incarnation || incarnation != last_incarnation_) return;
   note_limit(answer);
-  if (answer.leaving && !leaving_)
-    log_.line(support::line_class::process,
-              support::event_text("upstream_leaving").add("upstream", upstream_id()).text(),
-              boot_now());
-  leaving_ = answer.leaving;
+  if (answer.leaving && on_leaving_) on_leaving_(incarnation);
 }
 
 void gate_service::note_limit(const platform::answer_metadata& answer) {
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -59,6 +59,10 @@
                        const std::string& service, std::uint32_t slots);
   /// Sets the start of draining, or nothing if the upstream is not draining.
   void set_draining_since(std::optional<time_point> when) { draining_since_ = when; }
+  /// Sets the callback for an upstream that says in an answer that it leaves.
+  void on_leaving(std::function<void(const routing::upstream_incarnation&)> action) {
+    on_leaving_ = std::move(action);
+  }
   /// Sets how long requests may be sent after draining starts.
   void set_drain(duration drain) { settings_.drain = drain; }
   /// From now on refuses new requests and those that have not started.
@@ -124,9 +128,11 @@
   boost::asio::awaitable<std::optional<attempt_outcome>> await_admission(
       std::shared_ptr<attempt> request, requests::admission_id id);
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> request);
-  attempt_outcome classify(const attempt& request, exchange_outcome exchange);
-  /// Takes note of what the upstream says of itself in an answer.
-  void note_statements(const platform::answer_metadata& answer);
+  attempt_outcome classify(const attempt& request, exchange_outcome exchange,
+                           const routing::upstream_incarnation& incarnation);
+  /// Takes note of what `incarnation` says of itself in an answer.
+  void note_statements(const platform::answer_metadata& answer,
+                       const routing::upstream_incarnation& incarnation);
   void note_limit(const platform::answer_metadata& answer);
   [[nodiscard]] std::optional<attempt_outcome> refusal_if_closed(const attempt& request,
                                                                  time_point now) const;
@@ -161,13 +167,13 @@
   /// Keyed by the first key of a range.
   requests::outage_tracker range_outages_{{.wait = std::chrono::milliseconds{150}}};
   std::function<void(claims::shard_key)> on_missing_key_;
+  std::function<void(const routing::upstream_incarnation&)> on_leaving_;
   duration service_time_{};
   std::uint32_t connect_failures_ = 0;
   std::uint32_t retries_running_ = 0;
   gate_counts counts_;
   boost::asio::steady_timer limit_timer_;
   std::optional<routing::upstream_incarnation> last_incarnation_;  ///< Also while it is absent.
-  bool leaving_ = false;  ///< The upstream's latest answer said so.
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -242,7 +242,9 @@
     state.last_refusal = refusal::owner_pending;
     return std::nullopt;
   }
-  if (!view_.directory.reachable(owner->agent, now) ||
+  const auto leaving_since = view_.directory.leaving_since(owner->agent);
+  const bool has_left = leaving_since && now >= *leaving_since + settings_.drain / 2;
+  if (has_left || !view_.directory.reachable(owner->agent, now) ||
       view_.directory.find(owner->agent) == nullptr) {
     owner_outages_.report_unavailable(state.owner, now);
     claims_.refresh_map(state.service);
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -42,7 +42,18 @@
       store_(store),
       gate_(gate),
       log_(log),
-      watch_(suspicion_timeout(settings)) {}
+      watch_(suspicion_timeout(settings)) {
+  gate_.on_leaving([this](const auto& incarnation) { upstream_leaving(incarnation); });
+}
+
+void upstream_registrar::upstream_leaving(const routing::upstream_incarnation& incarnation) {
+  const auto now = boot_now();
+  if (!watch_.leaving(incarnation, now)) return;
+  support::event_text line("upstream_leaving");
+  line.add("upstream", incarnation.id).add("born", incarnation.start_ms);
+  log_.line(support::line_class::process, line.text(), now);
+  apply(now);
+}
 
 routing::registration upstream_registrar::registration(time_point now) const {
   routing::registration current{.agent = settings_.name,
--- a/src/fleet/internal/upstream_registrar.h
+++ b/src/fleet/internal/upstream_registrar.h
@@ -20,10 +20,10 @@
 /// Receives and acknowledges heartbeats and deregistrations of the upstream, and publishes its
 /// registration when it changes.
 ///
-/// Draining and deregistration take effect locally at once, and are written to the store before
-/// they are acknowledged, so that the next process on this VM sees them too. If the store does not
-/// answer in time, the acknowledgement is sent without it.
-/// Thread safety: none.
+/// Draining, also said in an answer, and deregistration take effect locally at once, and are
+/// written to the store before they are acknowledged, so that the next process on this VM sees them
+/// too. If the store does not answer in time, the acknowledgement is sent without it. Thread
+/// safety: none.
 class upstream_registrar {
  public:
   upstream_registrar(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
@@ -52,6 +52,7 @@
   boost::asio::awaitable<void> acknowledge(std::shared_ptr<server_request> request,
                                            platform::agent_request notification);
   boost::asio::awaitable<void> publish();
+  void upstream_leaving(const routing::upstream_incarnation& incarnation);
   void apply(time_point now);
   /// Logs once for each incarnation if its heartbeats contradict the setting `grants`.
   void check_grants(const platform::heartbeat& heartbeat, time_point now);
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -170,3 +170,19 @@
   upstreams.ended("near", attempt_health::good, load_report{.slots = 4}, start + seconds{1});
   expect_false(upstreams.request_limit("near", start + seconds{1}).has_value());
 }
+
+Test(upstream_directory, a_leaving_upstream_is_chosen_again_only_in_its_next_incarnation) {
+  auto upstreams = directory();
+  load_report load{.slots = 4};
+  load.leaving = registered("near", "n1").incarnation;
+  upstreams.ended("near", attempt_health::good, load, start);
+  upstreams.ended("near", attempt_health::good, load_report{.slots = 4}, start + seconds{5});
+  expect_true(upstreams.leaving_since("near") == start);
+  expect_equal(chosen(upstreams, {}, start + seconds{5}), "mid");
+  auto next = registered("near", "n1");
+  next.incarnation.start_ms = 2;
+  upstreams.put(next, start + seconds{6});
+  upstreams.ended("near", attempt_health::good, load, start + seconds{6});
+  expect_false(upstreams.leaving_since("near").has_value());
+  expect_equal(chosen(upstreams, {}, start + seconds{20}), "near");
+}
--- a/tests/decisions/routing/upstream_watch_test.cpp
+++ b/tests/decisions/routing/upstream_watch_test.cpp
@@ -110,3 +110,27 @@
   expect_true(watch.heartbeat_received(heartbeat(1, 1), start));
   expect_true(watch.confirmed());
 }
+
+Test(upstream_watch,
+     an_upstream_that_says_in_an_answer_that_it_leaves_drains_until_the_next_incarnation) {
+  upstream_watch watch(seconds{3});
+  watch.heartbeat_received(heartbeat(1, 1), start);
+  const auto incarnation = watch.last()->incarnation;
+  expect_true(watch.leaving(incarnation, start + seconds{1}));
+  expect_true(watch.draining_since() == start + seconds{1});
+  expect_false(watch.leaving(incarnation, start + seconds{2}));
+  expect_true(watch.heartbeat_received(heartbeat(1, 2), start + seconds{2}));
+  expect_true(watch.draining_since() == start + seconds{1});
+  expect_true(watch.stage(start + seconds{2}) == upstream_stage::draining);
+  watch.heartbeat_received(heartbeat(2, 1), start + seconds{2});
+  expect_false(watch.draining_since().has_value());
+}
+
+Test(upstream_watch, an_answer_of_an_earlier_incarnation_does_not_make_its_successor_drain) {
+  upstream_watch watch(seconds{3});
+  watch.heartbeat_received(heartbeat(1, 1), start);
+  const auto earlier = watch.last()->incarnation;
+  watch.heartbeat_received(heartbeat(2, 1), start);
+  expect_false(watch.leaving(earlier, start));
+  expect_false(watch.draining_since().has_value());
+}
--- a/tests/fleet/attempt_test.cpp
+++ b/tests/fleet/attempt_test.cpp
@@ -90,6 +90,21 @@
   expect_false(unlimited.load->request_limit.has_value());
 }
 
+Test(peer_answer, names_the_incarnation_that_leaves) {
+  const routing::load_report load{.leaving = routing::upstream_incarnation{"i-1", 1'700}};
+  const auto read = read_peer_answer_headers(fields_of(load_header(load)));
+  expect_true(read.load->leaving == load.leaving);
+  expect_false(read.load->request_limit.has_value());
+  expect_false(read_peer_answer_headers(fields_of(load_header({}))).load->leaving.has_value());
+}
+
+Test(peer_answer, of_an_agent_of_an_earlier_version_is_read) {
+  const auto read = read_peer_answer_headers(fields_of("Masticshunt-Load: 1 2 12 90000 0\r\n"));
+  expect_equal(read.load->waiting, 2U);
+  expect_false(read.load->request_limit.has_value());
+  expect_false(read.load->leaving.has_value());
+}
+
 Test(peer_answer, a_refusal_is_read_as_it_was_sent) {
   auto outcome = refused(refusal::not_owner, milliseconds{70});
   outcome.owner = owner_hint{{{10, 20}, {"vm-2", 0}, {}, 9, ""}, 33};
--- a/tests/process_soak/invariant_checker.h
+++ b/tests/process_soak/invariant_checker.h
@@ -72,7 +72,7 @@
                        std::to_string(highest_elsewhere));
   }
   /// Records that a request reached a draining upstream, `since_acknowledged` after the agent
-  /// acknowledged the drain.
+  /// acknowledged the drain or the upstream first said in an answer that it leaves.
   void reached_draining_upstream(const std::string& upstream, duration since_acknowledged) {
     constexpr duration drain_limit = std::chrono::milliseconds{2'000};
     if (since_acknowledged > drain_limit)
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -66,6 +66,9 @@
     sequence_ = 0;
     drain_acknowledged_at_.reset();
     draining_ = false;
+    leaving_ = false;
+    leaving_told_at_.reset();
+    limit_.reset();
     forget_keys();
     server_ = std::make_unique<fleet::http_server>(
         executor_, [this](auto request) { receive(std::move(request)); });
@@ -81,6 +84,10 @@
   }
   /// Announces in all further heartbeats that it is draining.
   void drain() { draining_ = true; }
+  /// Says in all further answers that it leaves; its heartbeats go on saying that it is ready.
+  void say_leaving() { leaving_ = true; }
+  /// Names `per_second` as its limit in all further answers; nothing ends the limit.
+  void name_limit(std::optional<double> per_second) { limit_ = per_second; }
   /// While set, about half of the key commands get no response and are applied 2 s to 6 s later,
   /// and about half of the answers to heartbeats are lost.
   void set_delayed_grants(bool delayed) { delays_grants_ = delayed; }
@@ -126,6 +133,15 @@
     return found == request->head.end() ? std::string{} : std::string(found->value());
   }
 
+  /// Returns the header lines of an answer in which the upstream speaks of itself.
+  std::string statements() {
+    std::string lines;
+    if (limit_) lines += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+    if (!leaving_) return lines;
+    if (!leaving_told_at_) leaving_told_at_ = boot_now();
+    return lines + "Server-Leaving: 1\r\n";
+  }
+
   void receive(request_ptr request) {
     if (!request->body->complete())
       return when_complete(executor_, request, [this, request] {
@@ -136,11 +152,14 @@
     const std::string id = header(request, "X-Request-Id");
     const auto refuse = [&](unsigned status) {
       request->respond(
-          {.status = status, .headers = "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\n"});
+          {.status = status,
+           .headers = "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\n" + statements()});
     };
     if (header(request, "X-Expected-Instance") != id_) return refuse(421);
     if (drain_acknowledged_at_)
       checker_.reached_draining_upstream(settings_.name, boot_now() - *drain_acknowledged_at_);
+    if (leaving_told_at_)
+      checker_.reached_draining_upstream(settings_.name, boot_now() - *leaving_told_at_);
     if (settings_.keyed) {
       const auto key = static_cast<claims::shard_key>(std::stoul(header(request, "X-Shard-Key")));
       if (!holds(key)) return refuse(421);
@@ -158,7 +177,7 @@
       if (!up() || incarnation != incarnation_) return;
       if (settings_.keyed) busy_keys_.erase(busy_key);
       request->respond({.headers = "X-Request-Id: " + id + "\r\nX-Response-Signature: s." + id +
-                                   "\r\nX-Server-Load: 1,0,8\r\n",
+                                   "\r\nX-Server-Load: 1,0,8\r\n" + statements(),
                         .text = "body of " + id});
     });
   }
@@ -350,6 +369,9 @@
   std::int64_t started_ms_ = 0;
   std::uint64_t sequence_ = 0;
   bool draining_ = false;
+  bool leaving_ = false;
+  std::optional<time_point> leaving_told_at_;  ///< Of the first answer that said so.
+  std::optional<double> limit_;
   bool delays_grants_ = false;
   std::optional<time_point> drain_acknowledged_at_;
   std::size_t running_ = 0;
