Take late in a shutdown only what must end before the agent does

Report of another operator: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated. It could happen here: connections accepted after SIGTERM stayed open, and a request on one was passed on however late (first sent 4.5 s after SIGTERM, with 1.5 s to go, of 5.6 s). Change: shutdown_plan decides; once callers have had time to leave, a request that may outlast the agent is refused at once. The times of a shutdown move there from agent_process.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -21,11 +21,6 @@
 constexpr duration housekeeping_interval = std::chrono::milliseconds{100};
 /// The first change is applied at once; further changes within this time form one batch.
 constexpr duration registration_batching = std::chrono::milliseconds{900};
-/// Callers no longer send to an agent that has not been ready for this time.
-constexpr duration caller_drain_time = std::chrono::milliseconds{2'600};
-/// Time after which the gate refuses new requests, so that the last ones end in time.
-constexpr duration gate_closes_after = std::chrono::milliseconds{2'450};
-constexpr duration grace_margin = std::chrono::milliseconds{400};
 constexpr double bytes_of_megabit = 125'000;
 constexpr duration peer_idle_timeout = std::chrono::seconds{30};
 constexpr duration peer_pool_idle = std::chrono::seconds{20};
@@ -265,7 +260,7 @@
   for (const auto& [name, service] : view_.routes().state().services)
     if (service.keyed && view_.find_map(name) == nullptr) claims_.refresh_map(name);
   schedule_claims();
-  if (stopping_since_) advance_shutdown(now);
+  if (shutdown_) advance_shutdown(now);
   log_.flush(now);
   housekeeping_timer_.expires_after(housekeeping_interval);
   housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -280,7 +275,7 @@
 }
 
 bool agent_process::ready() const {
-  return !stopping_since_ && view_.routes().version() > 0 && view_.directory.all().size() > 1;
+  return !shutdown_ && view_.routes().version() > 0 && view_.directory.all().size() > 1;
 }
 
 void agent_process::wait_for_signal() {
@@ -310,22 +305,21 @@
 }
 
 void agent_process::begin_shutdown() {
-  if (stopping_since_) return;
-  stopping_since_ = boot_now();
+  if (shutdown_) return;
+  shutdown_.emplace(requests::shutdown_settings{.grace = settings_.grace}, boot_now());
   log_event("stop in_flight=" + std::to_string(callers_server_.open_requests()) +
             " gate=" + std::to_string(gate_.in_flight()));
+  ingress_.begin_shutdown(*shutdown_);
   callers_server_.close_gracefully();
   claims_.shut_down();
 }
 
 void agent_process::advance_shutdown(time_point now) {
-  const auto elapsed = now - *stopping_since_;
-  if (elapsed >= gate_closes_after) gate_.stop();
-  if (elapsed >= caller_drain_time) callers_server_.stop_accepting();
+  if (!shutdown_->gate_is_open(now)) gate_.stop();
+  if (!shutdown_->accepts_connections(now)) callers_server_.stop_accepting();
   const bool idle = callers_server_.open_requests() == 0 && gate_.in_flight() == 0 &&
                     peer_server_.open_requests() == 0;
-  const bool grace_expired = elapsed >= settings_.grace - grace_margin;
-  if (!(elapsed >= caller_drain_time && idle) && !grace_expired) return;
+  if (!shutdown_->ends(now, idle)) return;
   log_event("stopped in_flight=" + std::to_string(callers_server_.open_requests()));
   log_.flush(now);
   context_.stop();
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -19,6 +19,7 @@
 #include "fleet/internal/peer_service.h"
 #include "fleet/internal/store_client.h"
 #include "fleet/internal/upstream_registrar.h"
+#include "masticshunt/decisions/requests/shutdown_plan.h"
 #include "masticshunt/decisions/routing/state_confirmation.h"
 #include "masticshunt/fleet/settings.h"
 #include "masticshunt/support/event_log.h"
@@ -38,6 +39,9 @@
   /// Opens the endpoints and starts the agent. Returns an empty text, or the reason of a failure.
   std::string start();
 
+  /// Stops the agent as SIGTERM does.
+  void begin_shutdown();
+
   /// Returns the version of the desired state in force; zero before the first.
   [[nodiscard]] std::uint64_t state_version() const { return view_.routes().version(); }
 
@@ -51,7 +55,6 @@
   void schedule_claims();
   void wait_for_signal();
   void reload();
-  void begin_shutdown();
   void advance_shutdown(time_point now);
   void answer_metrics(const std::shared_ptr<server_request>& request);
   [[nodiscard]] bool ready() const;
@@ -82,7 +85,7 @@
   boost::asio::steady_timer housekeeping_timer_;
   boost::asio::steady_timer claims_timer_;
   boost::asio::signal_set signals_;
-  std::optional<time_point> stopping_since_;
+  std::optional<requests::shutdown_plan> shutdown_;
   bool claims_scheduled_ = false;
   routing::state_confirmation state_confirmation_;
   std::optional<time_point> spread_until_;  ///< Until then, peers may have missed the new version.
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -116,6 +116,10 @@
   state.keyed = service != nullptr && service->keyed && state.metadata.key;
   state.deadline = request->arrived +
                    std::min(state.metadata.caller_timeout.value_or(route->timeout), route->timeout);
+  if (shutdown_ && !shutdown_->takes_request(request->arrived, state.deadline)) {
+    answer_refused(state, refusal::leaving, retry_after_min);
+    co_return;
+  }
   budget_.record_request(state.service, request->arrived);
   if (state.service != settings_.service)
     budget_.charge(state.service, gate_.retry_share(), request->arrived);
--- a/src/fleet/internal/ingress.h
+++ b/src/fleet/internal/ingress.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "fleet/internal/peer_service.h"
 #include "masticshunt/decisions/requests/outage_tracker.h"
 #include "masticshunt/decisions/requests/retry_budget.h"
+#include "masticshunt/decisions/requests/shutdown_plan.h"
 #include "masticshunt/decisions/routing/route_profile.h"
 #include "masticshunt/support/event_log.h"
 #include "masticshunt/support/metrics.h"
@@ -36,6 +38,8 @@
 
   /// Answers a caller's request.
   void handle(std::shared_ptr<server_request> request);
+  /// From now on refuses requests that `plan` does not take.
+  void begin_shutdown(const requests::shutdown_plan& plan) { shutdown_ = plan; }
   /// Changes the bound of retries, for all agents together.
   void set_retry_bound(double ratio, double slack) { budget_.set_bound(ratio, slack); }
 
@@ -72,6 +76,7 @@
   requests::retry_budget budget_;
   requests::outage_tracker owner_outages_{{}};              ///< Keyed by service and agent.
   std::map<std::string, routing::route_profile> profiles_;  ///< Keyed by route.
+  std::optional<requests::shutdown_plan> shutdown_;
   std::mt19937_64 random_;
 };
 
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
@@ -50,6 +51,14 @@
   process_soak::store& store() { return store_; }
   process_soak::upstream& upstream(std::size_t i) { return *upstreams_.at(i); }
   process_soak::invariant_checker& checker() { return checker_; }
+  fleet::agent_process& agent(std::size_t i) { return *agents_.at(i); }
+  /// Opens a connection to the callers' endpoint of the agent `index`.
+  boost::asio::ip::tcp::socket connect(std::size_t index) {
+    boost::system::error_code error;
+    boost::asio::ip::tcp::socket socket(context_);
+    socket.connect(fleet::tcp_endpoint(caller_addresses_.at(index), error));
+    return socket;
+  }
   /// Starts all upstreams and waits until the agents know them.
   void start_upstreams() {
     for (const auto& each : upstreams_) each->start();
