Split large files: watches of the store, the gate's log, tests of lost connections

store_watch has a header and a source of its own, the gate's log lines and metrics stand in gate_log, and tests of connections that are lost in connection_loss_test; event_text writes optional numbers.

--- a/include/masticshunt/support/event_log.h
+++ b/include/masticshunt/support/event_log.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,8 @@
   event_text& add(std::string_view name, Number number) {
     return add(name, std::string_view(std::to_string(number)));
   }
+  /// Adds a number with two decimals, or "none".
+  event_text& add(std::string_view name, const std::optional<double>& number);
   /// Adds a duration in milliseconds; `name` should end in "_ms".
   event_text& add(std::string_view name, duration span);
   /// Adds a quoted text; quotes and line breaks in it are replaced by '.
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -18,6 +18,7 @@
 #include "fleet/internal/ingress.h"
 #include "fleet/internal/peer_service.h"
 #include "fleet/internal/store_client.h"
+#include "fleet/internal/store_watch.h"
 #include "fleet/internal/upstream_registrar.h"
 #include "masticshunt/decisions/requests/shutdown_plan.h"
 #include "masticshunt/decisions/routing/state_confirmation.h"
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -1,11 +1,9 @@
 #include "fleet/internal/gate_service.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
-#include <cstdio>
 
 #include "masticshunt/support/clock.h"
 #include "platform/headers.h"
@@ -27,7 +25,6 @@
 constexpr duration idle_limit_default = std::chrono::seconds{4};
 constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
 constexpr unsigned first_failure_status = 300;
-constexpr unsigned first_server_error = 500;
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_too_many = 429;
@@ -43,14 +40,6 @@
   return std::max<duration>(*limit - idle_limit_margin, std::chrono::milliseconds{500});
 }
 
-/// Returns a limit for a log line.
-std::string text_of(const std::optional<double>& limit) {
-  if (!limit) return "none";
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.2f", *limit);
-  return text.data();
-}
-
 bool claims_not_run(unsigned status) {
   return status == status_timeout || status == status_misdirected || status == status_too_many ||
          status == status_unavailable;
@@ -144,63 +133,6 @@
   co_return outcome;
 }
 
-std::string gate_service::refusal_detail(const attempt& request, time_point arrived) const {
-  const auto now = boot_now();
-  support::event_text text("gate");
-  text.add("waited_ms", now - arrived)
-      .add("running", queue_.running())
-      .add("waiting", queue_.waiting())
-      .add("slots", slots_);
-  if (queue_.limit()) text.add("limit", text_of(queue_.limit()));
-  if (request.key && holder_ != nullptr)
-    text.add("right_ms", holder_->lease_end() - now).add("gate_map", holder_->map().revision);
-  return text.text();
-}
-
-void gate_service::record(const attempt& request, const attempt_outcome& outcome,
-                          time_point arrived, std::optional<time_point> began) {
-  const auto now = boot_now();
-  metrics_
-      .make_counter({"masticshunt_gate_requests_total",
-                     "Requests at the gate by result and reason",
-                     {{"result", std::string(to_string(outcome.result))},
-                      {"why", std::string(to_string(outcome.why))}}})
-      .add();
-  metrics_.make_latency({"masticshunt_gate_wait_seconds", "Time before a request is sent on", {}})
-      .record(began.value_or(now) - arrived);
-  if (began)
-    metrics_.make_latency({"masticshunt_upstream_seconds", "Time that the upstream takes", {}})
-        .record(now - *began);
-  const bool served =
-      outcome.result == attempt_result::answered && outcome.status < first_server_error;
-  const auto kind = served ? support::line_class::success : support::line_class::failure;
-  if (!log_.admits(kind, now)) return;
-  support::event_text line("gate");
-  line.add("id", request.id).add("service", request.service);
-  if (request.key) line.add("key", *request.key);
-  line.add("result", to_string(outcome.result))
-      .add("why", to_string(outcome.why))
-      .add("status", outcome.status)
-      .add("reached", outcome.reached_upstream ? "yes" : "no")
-      .add("upstream", incarnation_ ? incarnation_->id : "none")
-      .add("waited_ms", began.value_or(now) - arrived)
-      .add("ran_ms", began ? now - *began : duration{})
-      .add("left_ms", request.deadline - now)
-      .add("target_left_ms", request.target_time - now)
-      .add("rank", request.rank)
-      .add("running", queue_.running())
-      .add("waiting", queue_.waiting())
-      .add("slots", slots_)
-      .add("usual_ms", service_time_);
-  if (queue_.limit()) line.add("limit", text_of(queue_.limit()));
-  if (request.key && holder_ != nullptr)
-    line.add("map", holder_->map().revision)
-        .add("entry_map", request.map_revision)
-        .add("right_ms", holder_->lease_end() - now);
-  line.add_quoted("detail", outcome.detail);
-  log_.write_admitted(line.text());
-}
-
 asio::awaitable<attempt_outcome> gate_service::admit_and_send(std::shared_ptr<attempt> request,
                                                               std::optional<time_point>& began) {
   ++counts_.offered;
@@ -500,8 +432,8 @@
   if (queue_.limit() == before) return;
   support::event_text line("upstream_limit");
   line.add("upstream", upstream_id())
-      .add("per_second", text_of(queue_.limit()))
-      .add("before", text_of(before))
+      .add("per_second", queue_.limit())
+      .add("before", before)
       .add("running", queue_.running())
       .add("waiting", queue_.waiting())
       .add("refused", refused_limited());
--- a/src/support/event_log.cpp
+++ b/src/support/event_log.cpp
@@ -31,6 +31,13 @@
   return *this;
 }
 
+event_text& event_text::add(std::string_view name, const std::optional<double>& number) {
+  if (!number) return add(name, "none");
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", *number);
+  return add(name, std::string_view(text.data()));
+}
+
 event_text& event_text::add(std::string_view name, duration span) {
   return add(name, std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
--- a/tests/support/event_log_test.cpp
+++ b/tests/support/event_log_test.cpp
@@ -75,3 +75,9 @@
   }
   expect_true(log.lost() > 0);
 }
+
+Test(event_text, writes_an_optional_number_with_two_decimals) {
+  const auto text =
+      event_text("limit").add("now", std::optional(12.346)).add("before", std::optional<double>{});
+  expect_equal(text.text(), "limit now=12.35 before=none");
+}
