--- a/tests/process_soak/soak_run.h
+++ b/tests/process_soak/soak_run.h
@@ -200,7 +200,7 @@
       boost::asio::co_spawn(context_, inject_fault(), boost::asio::detached);
       co_await sleep(std::chrono::milliseconds{300 + random_() % 1'700});
     }
-    co_await sleep(std::chrono::seconds{5});  // Every fault ends within this time.
+    co_await sleep(std::chrono::milliseconds{8'500});  // Every fault ends within this time.
     co_await sleep(recovery);
     measuring_ = true;
     co_await sleep(fault_free_end);
@@ -229,6 +229,9 @@
         named_fault{"upstream link", &soak_run::disturb_upstream_link},
         named_fault{"upstream crash", &soak_run::crash_upstream},
         named_fault{"upstream drain", &soak_run::drain_upstream},
+        named_fault{"upstream leaving", &soak_run::leave_upstream},
+        named_fault{"upstream limit", &soak_run::limit_upstream},
+        named_fault{"silent watches", &soak_run::silence_watches},
         named_fault{"delayed grants", &soak_run::delay_grants},
         named_fault{"state change", &soak_run::change_state}};
     const auto& chosen = faults.at(random_() % faults.size());
@@ -293,12 +296,29 @@
   }
   boost::asio::awaitable<void> drain_upstream(std::size_t index, duration /*span*/) {
     upstreams_[index]->drain();
+    co_await end_and_start_upstream(index);
+  }
+  /// Ends an upstream that has announced its end, and starts its next incarnation.
+  boost::asio::awaitable<void> end_and_start_upstream(std::size_t index) {
     co_await sleep(std::chrono::milliseconds{4'500});
     if (!upstreams_[index]->up()) co_return;
     upstreams_[index]->crash();
     co_await sleep(std::chrono::milliseconds{300});
     if (!upstreams_[index]->up()) upstreams_[index]->start();
   }
+  boost::asio::awaitable<void> leave_upstream(std::size_t index, duration /*span*/) {
+    upstreams_[index]->say_leaving();
+    co_await end_and_start_upstream(index);
+  }
+  boost::asio::awaitable<void> limit_upstream(std::size_t index, duration span) {
+    upstreams_[index]->name_limit(static_cast<double>(random_() % 100) / 10);
+    co_await sleep(std::chrono::seconds{4} + span);
+    upstreams_[index]->name_limit(std::nullopt);
+  }
+  boost::asio::awaitable<void> silence_watches(std::size_t /*index*/, duration /*span*/) {
+    store_.forget_watches();
+    co_return;
+  }
   boost::asio::awaitable<void> delay_grants(std::size_t index, duration span) {
     upstreams_[index]->set_delayed_grants(true);
     co_await sleep(span);
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -68,7 +69,7 @@
     draining_ = false;
     leaving_ = false;
     leaving_told_at_.reset();
-    limit_.reset();
+    name_limit(std::nullopt);
     forget_keys();
     server_ = std::make_unique<fleet::http_server>(
         executor_, [this](auto request) { receive(std::move(request)); });
@@ -87,7 +88,11 @@
   /// Says in all further answers that it leaves; its heartbeats go on saying that it is ready.
   void say_leaving() { leaving_ = true; }
   /// Names `per_second` as its limit in all further answers; nothing ends the limit.
-  void name_limit(std::optional<double> per_second) { limit_ = per_second; }
+  void name_limit(std::optional<double> per_second) {
+    limit_ = per_second;
+    limit_named_at_.reset();
+    arrivals_.clear();
+  }
   /// While set, about half of the key commands get no response and are applied 2 s to 6 s later,
   /// and about half of the answers to heartbeats are lost.
   void set_delayed_grants(bool delayed) { delays_grants_ = delayed; }
@@ -133,10 +138,30 @@
     return found == request->head.end() ? std::string{} : std::string(found->value());
   }
 
+  /// Counts a request that has arrived, and reports it if the limit allows no more.
+  void check_limit() {
+    constexpr duration contact = std::chrono::seconds{3};
+    constexpr duration window = std::chrono::seconds{4};
+    constexpr double tolerance = 1.5;
+    constexpr double slack = 5;
+    const auto now = boot_now();
+    if (!limit_named_at_) return;
+    arrivals_.push_back(now);
+    while (arrivals_.front() <= now - window) arrivals_.pop_front();
+    const double allowed =
+        tolerance * *limit_ * std::chrono::duration<double>(window).count() + slack;
+    if (now - *limit_named_at_ > contact && static_cast<double>(arrivals_.size()) > allowed)
+      checker_.report_violation(settings_.name + " takes " + std::to_string(*limit_) +
+                                " requests a second and got " + std::to_string(arrivals_.size()) +
+                                " in 4 s");
+  }
   /// Returns the header lines of an answer in which the upstream speaks of itself.
   std::string statements() {
     std::string lines;
-    if (limit_) lines += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+    if (limit_) {
+      lines += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+      if (!limit_named_at_) limit_named_at_ = boot_now();
+    }
     if (!leaving_) return lines;
     if (!leaving_told_at_) leaving_told_at_ = boot_now();
     return lines + "Server-Leaving: 1\r\n";
@@ -160,6 +185,7 @@
       checker_.reached_draining_upstream(settings_.name, boot_now() - *drain_acknowledged_at_);
     if (leaving_told_at_)
       checker_.reached_draining_upstream(settings_.name, boot_now() - *leaving_told_at_);
+    check_limit();
     if (settings_.keyed) {
       const auto key = static_cast<claims::shard_key>(std::stoul(header(request, "X-Shard-Key")));
       if (!holds(key)) return refuse(421);
@@ -372,6 +398,8 @@
   bool leaving_ = false;
   std::optional<time_point> leaving_told_at_;  ///< Of the first answer that said so.
   std::optional<double> limit_;
+  std::optional<time_point> limit_named_at_;  ///< In the first answer that named it.
+  std::deque<time_point> arrivals_;           ///< In the last four seconds, under a limit.
   bool delays_grants_ = false;
   std::optional<time_point> drain_acknowledged_at_;
   std::size_t running_ = 0;
