--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -35,8 +35,8 @@
     const auto got = dispatcher.call("POST", "buch.example", "/buch/x", id, 1500, -1, "possession");
     served += got.status == 200;
     if (got.status != 200) record.line("%s is answered %d", id.c_str(), got.status);
-    const bool promised = got.status == 503 || got.status == 429 || got.status == 408 ||
-                          got.status == 421;
+    const bool promised =
+        got.status == 503 || got.status == 429 || got.status == 408 || got.status == 421;
     if (promised) sleep_for(ms{300});
     const auto runs = fleet.book.runs_of(id);
     if (promised && runs > 0)
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -51,7 +52,9 @@
 inline double seconds_now() {
   return std::chrono::duration<double>(clock_type::now() - started_at()).count();
 }
-inline void sleep_for(ms span) { std::this_thread::sleep_for(span); }
+inline void sleep_for(ms span) {
+  std::this_thread::sleep_for(span);
+}
 
 /// Writes record.txt: one line for each thing that was sent, answered or run.
 class recorder {
@@ -337,8 +340,7 @@
     object& stored = objects_[kind][name];
     stored.revision = ++revision_;
     if (stored.created == 0) stored.created = revision_;
-    history_.push_back(
-        {revision_, kind, {{"deleted", deleted}, {"object", shown(name, stored)}}});
+    history_.push_back({revision_, kind, {{"deleted", deleted}, {"object", shown(name, stored)}}});
     if (deleted) objects_[kind].erase(name);
     changed_.notify_all();
   }
@@ -425,8 +427,8 @@
     }
     return text(200, {{"items", items}, {"hasMore", more}, {"at", revision_}});
   }
-  std::string watch(std::unique_lock<std::mutex>& lock, const std::string& kind,
-                    std::uint64_t from, const std::string& query) {
+  std::string watch(std::unique_lock<std::mutex>& lock, const std::string& kind, std::uint64_t from,
+                    const std::string& query) {
     const auto wait = parameter(query, "waitMs");
     const auto until = clock_type::now() + ms{wait.empty() ? 0 : std::stoll(wait)};
     json events = events_since(kind, from);
@@ -551,11 +553,10 @@
   std::function<bool(int handle, const message&)> instead;
 
   bool start() {
-    born_ = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch())
-                .count();
-    const bool listening = listener_.start(settings_.ip, settings_.port, [this](int handle, reader& in) {
-      serve(handle, in);
-    });
+    born_ =
+        std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
+    const bool listening = listener_.start(settings_.ip, settings_.port,
+                                           [this](int handle, reader& in) { serve(handle, in); });
     if (!listening) return false;
     running_ = true;
     record_.line("target %s starts id=%s born=%lld", label().c_str(), settings_.id.c_str(),
@@ -568,7 +569,8 @@
     if (!running_.exchange(false)) return;
     {
       const std::lock_guard lock(book_.mutex);
-      for (auto& each : held_) book_.holdings[each].until = std::min(book_.holdings[each].until, seconds_now());
+      for (auto& each : held_)
+        book_.holdings[each].until = std::min(book_.holdings[each].until, seconds_now());
       held_.clear();
     }
     released_.notify_all();
@@ -603,8 +605,10 @@
   }
   std::string handled(const message& call) {
     if (call.has("X-Expected-Instance") && call.header("X-Expected-Instance") != settings_.id)
-      return answer_text(421, "X-Request-Id: " + call.header("X-Request-Id") +
-                                  "\r\nX-Instance-Id: " + settings_.id + "\r\n", "");
+      return answer_text(421,
+                         "X-Request-Id: " + call.header("X-Request-Id") +
+                             "\r\nX-Instance-Id: " + settings_.id + "\r\n",
+                         "");
     if (call.target == "/-/grant") return grant(json::parse(call.body));
     if (call.target == "/-/release") return release(json::parse(call.body));
     if (call.target == "/healthz")
@@ -672,8 +676,8 @@
       const bool overlaps = other.to >= from && other.from <= to;
       if (!overlaps || other.target == label()) continue;
       if (other.fence >= fence)
-        book_.violations.push_back("OWNER: " + label() + " took keys " + std::to_string(from) + "-" +
-                                   std::to_string(to) + " with epoch number " +
+        book_.violations.push_back("OWNER: " + label() + " took keys " + std::to_string(from) +
+                                   "-" + std::to_string(to) + " with epoch number " +
                                    std::to_string(fence) + ", which isn't above " +
                                    std::to_string(other.fence) + " of " + other.target);
     }
@@ -734,7 +738,8 @@
     while (running_ && busy()) released_.wait_for(lock, ms{10});
     if (!running_) return {};
     record_.line("target %s has ended its work on %d-%d", label().c_str(), from, to);
-    return answer_text(200, "X-Handover: " + std::to_string(born_) + "a" + std::to_string(from) + "\r\n", "");
+    return answer_text(
+        200, "X-Handover: " + std::to_string(born_) + "a" + std::to_string(from) + "\r\n", "");
   }
 
   void send_heartbeats() {
@@ -761,9 +766,10 @@
       const auto text = body.dump();
       const int handle = connect_to(settings_.ip, settings_.agent_port);
       if (handle < 0) continue;
-      const bool sent = send_all(
-          handle, "PUT /-/instances/" + settings_.id + " HTTP/1.1\r\nHost: agent\r\nContent-Type: "
-                  "application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+      const bool sent = send_all(handle, "PUT /-/instances/" + settings_.id +
+                                             " HTTP/1.1\r\nHost: agent\r\nContent-Type: "
+                                             "application/json\r\nContent-Length: " +
+                                             std::to_string(text.size()) + "\r\n\r\n" + text);
       const timeval limit{1, 0};
       setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
       reader in(handle);
@@ -818,8 +824,9 @@
     }
     const timeval limit{(budget_ms + 1000) / 1000, (budget_ms % 1000) * 1000};
     setsockopt(handle_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " +
-                       id + "\r\nX-Request-Deadline-Ms: " + std::to_string(budget_ms) + "\r\n";
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
+                       "\r\nX-Request-Id: " + id +
+                       "\r\nX-Request-Deadline-Ms: " + std::to_string(budget_ms) + "\r\n";
     if (key >= 0) text += "X-Shard-Key: " + std::to_string(key) + "\r\n";
     if (!body.empty() || method == "POST")
       text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -901,8 +908,9 @@
         << "\n\n[listen]\ncallers = " << at(on_.callers) << "\nreadiness = " << at(on_.readiness)
         << "\nupstream = " << at(on_.heartbeats) << "\npeer_port = " << peer_port_
         << "\nmetrics_port = " << metrics_port_ << "\n\n[upstream]\naddress = " << at(on_.upstream)
-        << "\nservice = " << on_.service << "\nheartbeat = 870ms\ngrants = call\n\n[store]\naddress = "
-        << store_ << "\n\n[link]\nbandwidth = 1000.0\n\n[bounds]\ndrain = 2000ms\ngrace = 6s\n"
+        << "\nservice = " << on_.service
+        << "\nheartbeat = 870ms\ngrants = call\n\n[store]\naddress = " << store_
+        << "\n\n[link]\nbandwidth = 1000.0\n\n[bounds]\ndrain = 2000ms\ngrace = 6s\n"
         << "config = 2000ms\nhold_max = 10000ms\nrepeat_ratio = 0.2\nrepeat_window = 10s\n"
         << "repeat_slack = 60\n";
   }
@@ -912,6 +920,7 @@
     const auto log = folder_ + "/" + on_.name + ".log";
     const pid_t pid = ::fork();
     if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, however that ends
       setenv("MASTICSHUNT_CONFIG", path.c_str(), 1);
       if (std::freopen(log.c_str(), "a", stdout) == nullptr) _exit(126);
       dup2(STDOUT_FILENO, STDERR_FILENO);
@@ -927,8 +936,10 @@
       ::waitpid(pid_, &status, 0);
       if (!supervising_) return;
       const bool expected = expected_ends_ > 0;
-      if (expected) --expected_ends_;
-      else ++own_ends_;
+      if (expected)
+        --expected_ends_;
+      else
+        ++own_ends_;
       record_.line("agent %s ended %s (%s %d)", on_.name.c_str(),
                    expected ? "after a signal of the test" : "BY ITSELF",
                    WIFSIGNALED(status) ? "signal" : "exit code",
@@ -970,8 +981,8 @@
   deployment(const std::string& folder, recorder& record) : folder_(folder), record_(record) {
     std::random_device seed;
     do {
-      net_ = "127." + std::to_string(20 + seed() % 200) + "." + std::to_string(1 + seed() % 250) +
-             ".";
+      net_ =
+          "127." + std::to_string(20 + seed() % 200) + "." + std::to_string(1 + seed() % 250) + ".";
       store_ip_ = net_ + "250";
     } while (!all_free());
   }
@@ -979,8 +990,11 @@
   void add(const std::string& service, const std::string& zone, const std::string& region,
            bool keyed = false) {
     const auto number = std::to_string(machines.size() + 1);
-    machine on{.name = "sidecar-" + zone + "-" + number, .zone = zone, .region = region,
-               .service = service, .ip = net_ + number};
+    machine on{.name = "sidecar-" + zone + "-" + number,
+               .zone = zone,
+               .region = region,
+               .service = service,
+               .ip = net_ + number};
     on.callers = callers_port;
     on.readiness = readiness_port;
     on.heartbeats = heartbeats_port;
@@ -990,11 +1004,15 @@
   }
   std::unique_ptr<target> make_target(std::size_t at, const std::string& id, bool keyed) {
     const auto& on = machines[at];
-    return std::make_unique<target>(
-        target_settings{.name = "target-" + std::to_string(at + 1), .id = id, .service = on.service,
-                        .zone = on.zone, .ip = on.ip, .port = on.upstream,
-                        .agent_port = on.heartbeats, .keyed = keyed},
-        book, record_);
+    return std::make_unique<target>(target_settings{.name = "target-" + std::to_string(at + 1),
+                                                    .id = id,
+                                                    .service = on.service,
+                                                    .zone = on.zone,
+                                                    .ip = on.ip,
+                                                    .port = on.upstream,
+                                                    .agent_port = on.heartbeats,
+                                                    .keyed = keyed},
+                                    book, record_);
   }
   /// Starts the store with the desired state `state`, the targets and the agents.
   bool start(const json& state) {
@@ -1003,8 +1021,8 @@
     if (!platform.start(store_ip_, store_port)) return false;
     for (const auto& on : machines)
       agents.push_back(std::make_unique<agent>(on, peer_port, metrics_port,
-                                               store_ip_ + ":" + std::to_string(store_port), folder_,
-                                               record_));
+                                               store_ip_ + ":" + std::to_string(store_port),
+                                               folder_, record_));
     for (const auto& each : targets)
       if (!each->start()) return false;
     for (const auto& each : agents) each->start();
@@ -1037,12 +1055,12 @@
 
  private:
   static constexpr int callers_port = 8629, readiness_port = 8625, heartbeats_port = 8620,
-                       target_port = 8628, store_port = 8627, peer_port = 7600,
-                       metrics_port = 7601, machines_max = 20;
+                       target_port = 8628, store_port = 8627, peer_port = 7600, metrics_port = 7601,
+                       machines_max = 20;
   [[nodiscard]] bool all_free() const {
     for (int i = 1; i <= machines_max; ++i)
-      for (const int port : {callers_port, readiness_port, heartbeats_port, target_port, peer_port,
-                             metrics_port})
+      for (const int port :
+           {callers_port, readiness_port, heartbeats_port, target_port, peer_port, metrics_port})
         if (!is_free(net_ + std::to_string(i), port)) return false;
     return is_free(store_ip_, store_port);
   }
@@ -1054,8 +1072,9 @@
 
 inline json route(const std::string& host, const std::string& prefix, const std::string& kind,
                   const std::string& service, const std::string& timeout, int attempts = 2) {
-  return {{"host", host},       {"pathPrefix", prefix}, {"kind", kind},         {"timeout", timeout},
-          {"aim", "400ms"},     {"priority", 0},        {"service", service},   {"maxAttempts", attempts}};
+  return {{"host", host},       {"pathPrefix", prefix},   {"kind", kind},
+          {"timeout", timeout}, {"aim", "400ms"},         {"priority", 0},
+          {"service", service}, {"maxAttempts", attempts}};
 }
 inline json service(bool keyed) {
   json out{{"healthPath", "/healthz"}, {"maxConnections", 120}, {"protocol", "h1"}, {"tls", false}};
@@ -1084,7 +1103,8 @@
 }
 
 /// Runs a case: `record.txt` in its folder, a temporary folder for settings and logs.
-inline int run_case(int count, char** words, const std::function<int(deployment&, recorder&)>& play) {
+inline int run_case(int count, char** words,
+                    const std::function<int(deployment&, recorder&)>& play) {
   if (count != 3) {
     std::fprintf(stderr, "usage: %s CASE_FOLDER TEMPORARY_FOLDER\n", words[0]);
     return exit_could_not_run;
