--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -1096,19 +1096,20 @@
             {"idleTimeout", "15000ms"}}}};
 }
 
-/// The disruption is left out if TROUBLE is 0.
-inline bool trouble() {
-  const char* text = std::getenv("TROUBLE");
-  return text == nullptr || std::string(text) != "0";
+/// Whether the disruption takes place; `run_case` sets it from the command line.
+inline bool& trouble() {
+  static bool enabled = true;
+  return enabled;
 }
 
 /// Runs a case: `record.txt` in its folder, a temporary folder for settings and logs.
 inline int run_case(int count, char** words,
                     const std::function<int(deployment&, recorder&)>& play) {
-  if (count != 3) {
-    std::fprintf(stderr, "usage: %s CASE_FOLDER TEMPORARY_FOLDER\n", words[0]);
+  if (count != 4) {
+    std::fprintf(stderr, "usage: %s CASE_FOLDER TEMPORARY_FOLDER TROUBLE\n", words[0]);
     return exit_could_not_run;
   }
+  trouble() = std::string(words[3]) != "0";
   recorder record(std::string(words[1]) + "/record.txt");
   record.line("trouble=%s", trouble() ? "yes" : "no");
   deployment fleet(words[2], record);
