--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include "masticshunt/support/clock.h"
-#include "platform/headers.h"
 
 namespace masticshunt::fleet {
 
@@ -20,7 +19,6 @@
 constexpr duration refresh_interval = std::chrono::milliseconds{250};
 constexpr duration load_update_interval = std::chrono::milliseconds{200};
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_conflict = 409;
 
 /// Returns the content of the lease record; only its revision matters.
 std::string lease_text(const fleet_settings& settings) {
@@ -57,7 +55,8 @@
       gate_(gate),
       peers_(peers),
       log_(log),
-      incarnation_(incarnation) {
+      incarnation_(incarnation),
+      key_calls_(gate, timing_, log) {
   timing_.hold = std::min<duration>(timing_.hold, settings.hold_max);
   timing_.restart_lease = std::min<duration>(timing_.restart_lease, settings.hold_max);
   gate_.on_missing_key([this](claims::shard_key key) {
@@ -302,55 +301,18 @@
   tick(now);
 }
 
-asio::awaitable<exchange_outcome> claims_driver::call_upstream(platform::call call,
-                                                               duration timeout) {
-  exchange_request request{.head = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " +
-                                   gate_.upstream() + "\r\nContent-Type: application/json\r\n" +
-                                   platform::expected_upstream_header(gate_.upstream_id()),
-                           .body = std::make_shared<body_pipe>(),
-                           .deadline = boot_now() + timeout,
-                           .send_before = boot_now() + timing_.send_limit};
-  request.body->append(call.body);
-  request.body->finish();
-  cancellation never_cancelled;
-  co_return co_await run_exchange(gate_.pool(), gate_.upstream(), std::move(request),
-                                  never_cancelled);
-}
-
 asio::awaitable<void> claims_driver::grant(claims::grant_keys request) {
-  auto exchange = co_await call_upstream(
-      platform::grant_call(request.keys, request.fence,
-                           std::chrono::duration_cast<std::chrono::milliseconds>(request.hold),
-                           request.handover),
-      timing_.call_timeout);
-  auto result = claims::grant_result::no_answer;
-  if (exchange.result == exchange_result::not_connected) result = claims::grant_result::unreachable;
-  if (exchange.result == exchange_result::too_late) result = claims::grant_result::refused;
-  if (exchange.result == exchange_result::broken) result = claims::grant_result::connection_lost;
-  if (exchange.result == exchange_result::answered) {
-    result = exchange.status == status_ok         ? claims::grant_result::granted
-             : exchange.status == status_conflict ? claims::grant_result::newer_fence
-                                                  : claims::grant_result::refused;
-  }
-  if (result != claims::grant_result::granted)
-    log_event("grant_failed keys=" + std::to_string(request.keys.first) + "-" +
-              std::to_string(request.keys.last) + " fence=" + std::to_string(request.fence) +
-              " status=" + std::to_string(exchange.status) + " detail=\"" + exchange.detail + "\"");
+  const auto call = request.call;
+  const auto result = co_await key_calls_.grant(std::move(request));
   if (!holder_) co_return;
-  holder_->grant_ended(request.call, result, boot_now());
+  holder_->grant_ended(call, result, boot_now());
   for (const auto& action : holder_->tick(boot_now())) carry_out(action);
 }
 
 asio::awaitable<void> claims_driver::release(claims::release_keys request) {
-  auto exchange = co_await call_upstream(platform::release_call(request.keys, request.fence),
-                                         timing_.release_timeout);
-  std::optional<std::string> handover;
-  if (exchange.result == exchange_result::answered && exchange.status == status_ok)
-    handover = platform::handover_of(exchange.head);
-  log_event("released keys=" + std::to_string(request.keys.first) + "-" +
-            std::to_string(request.keys.last) + " fence=" + std::to_string(request.fence) +
-            " answered=" + (handover ? "yes" : "no"));
-  if (holder_) holder_->release_ended(request.call, handover, boot_now());
+  const auto call = request.call;
+  const auto handover = co_await key_calls_.release(std::move(request));
+  if (holder_) holder_->release_ended(call, handover, boot_now());
   tick(boot_now());
 }
 
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -11,6 +11,7 @@
 #include "fleet/internal/fleet_view.h"
 #include "fleet/internal/gate_service.h"
 #include "fleet/internal/heartbeat_responder.h"
+#include "fleet/internal/key_calls.h"
 #include "fleet/internal/store_client.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/claims/leader.h"
@@ -77,7 +78,6 @@
                                                   claims::delete_owner_lease request);
   boost::asio::awaitable<void> push(std::string service, claims::push_map pushed);
   boost::asio::awaitable<void> refresh(std::string service);
-  boost::asio::awaitable<exchange_outcome> call_upstream(platform::call call, duration timeout);
   boost::asio::awaitable<exchange_outcome> call_peer(endpoint to, std::string method,
                                                      std::string target, std::string body,
                                                      duration timeout, std::string headers = {});
@@ -92,6 +92,7 @@
   support::event_log& log_;
   std::uint64_t incarnation_;
   claims::claim_timing timing_;
+  key_calls key_calls_;
   std::unique_ptr<claims::claim_holder> holder_;
   std::string holder_service_;
   heartbeat_responder heartbeats_;
--- /dev/null
+++ b/src/fleet/internal/key_calls.cpp
@@ -0,0 +1,91 @@
+#include "fleet/internal/key_calls.h"
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "masticshunt/support/clock.h"
+#include "platform/headers.h"
+
+namespace masticshunt::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_conflict = 409;
+
+claims::grant_result grant_result_of(const exchange_outcome& exchange) {
+  switch (exchange.result) {
+    case exchange_result::not_connected:
+      return claims::grant_result::unreachable;
+    case exchange_result::too_late:
+      return claims::grant_result::refused;
+    case exchange_result::broken:
+      return claims::grant_result::connection_lost;
+    case exchange_result::malformed:
+    case exchange_result::timed_out:
+    case exchange_result::cancelled:
+      return claims::grant_result::no_answer;
+    case exchange_result::answered:
+      break;
+  }
+  return exchange.status == status_ok         ? claims::grant_result::granted
+         : exchange.status == status_conflict ? claims::grant_result::newer_fence
+                                              : claims::grant_result::refused;
+}
+
+std::string text_of(const claims::key_range& keys) {
+  return std::to_string(keys.first) + "-" + std::to_string(keys.last);
+}
+
+}  // namespace
+
+asio::awaitable<exchange_outcome> key_calls::call(platform::call call, duration timeout) {
+  const auto now = boot_now();
+  exchange_request request{.head = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " +
+                                   gate_.upstream() + "\r\nContent-Type: application/json\r\n" +
+                                   platform::expected_upstream_header(gate_.upstream_id()),
+                           .body = std::make_shared<body_pipe>(),
+                           .deadline = now + timeout,
+                           .send_before = now + timing_.send_limit};
+  request.body->append(call.body);
+  request.body->finish();
+  cancellation never_cancelled;
+  co_return co_await run_exchange(gate_.pool(), gate_.upstream(), std::move(request),
+                                  never_cancelled);
+}
+
+asio::awaitable<claims::grant_result> key_calls::grant(claims::grant_keys request) {
+  const auto hold = std::chrono::duration_cast<std::chrono::milliseconds>(request.hold);
+  const auto exchange =
+      co_await call(platform::grant_call(request.keys, request.fence, hold, request.handover),
+                    timing_.call_timeout);
+  const auto result = grant_result_of(exchange);
+  if (result != claims::grant_result::granted) {
+    support::event_text line("grant_failed");
+    line.add("keys", text_of(request.keys))
+        .add("fence", request.fence)
+        .add("status", exchange.status)
+        .add_quoted("detail", exchange.detail);
+    log_.line(support::line_class::process, line.text(), boot_now());
+  }
+  co_return result;
+}
+
+asio::awaitable<std::optional<std::string>> key_calls::release(claims::release_keys request) {
+  const auto exchange =
+      co_await call(platform::release_call(request.keys, request.fence), timing_.release_timeout);
+  std::optional<std::string> handover;
+  if (exchange.result == exchange_result::answered && exchange.status == status_ok)
+    handover = platform::handover_of(exchange.head);
+  support::event_text line("released");
+  line.add("keys", text_of(request.keys))
+      .add("fence", request.fence)
+      .add("answered", handover ? "yes" : "no");
+  log_.line(support::line_class::process, line.text(), boot_now());
+  co_return handover;
+}
+
+}  // namespace masticshunt::fleet
