Name the incarnation that the holder decided for in each grant and release

Cause: the name in the call came from the gate at the time of sending; the gate forgets its upstream after two refused connections, so the grant named nobody and whoever listened took it.

Change: the actions of the claim holder carry the incarnation; key_calls names it. An address that refuses a connection, in whatever exchange, stops grants until the next heartbeat, as the next incarnation may have the same id. The stand-in of the process soak refuses and reports key commands that name no upstream.

--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -40,17 +40,19 @@
   endpoint leader;
   owner_report report;
 };
-/// Grant keys to the upstream for `hold`; answer with `grant_ended`.
+/// Grant keys to `upstream`, and to no other incarnation, for `hold`; answer with `grant_ended`.
 struct grant_keys {
   grant_call call = 0;
+  upstream_incarnation upstream;
   key_range keys;
   std::uint64_t fence = 0;
   duration hold{};
   std::string handover;
 };
-/// Ask the upstream to release keys; answer with `release_ended`.
+/// Ask `upstream` to release keys; answer with `release_ended`.
 struct release_keys {
   grant_call call = 0;
+  upstream_incarnation upstream;
   key_range keys;
   std::uint64_t fence = 0;
 };
@@ -111,6 +113,9 @@
   /// `incarnation` is empty if the upstream is not present; `ready` is false while it drains.
   void update_upstream(std::optional<upstream_incarnation> incarnation, bool ready,
                        std::uint32_t slots, time_point last_heartbeat, time_point now);
+  /// The upstream's address refused a connection at `at`: the incarnation that listened there has
+  /// ended, and the next one may have the same id. Nothing is granted before its next heartbeat.
+  void connection_refused(time_point at);
   /// This agent is about to restart while its upstream keeps running: grants last longer.
   void prepare_restart(time_point now);
   /// Sets the agents that may become the next leader, in order of preference.
@@ -215,6 +220,7 @@
   claim_map map_;
   std::optional<upstream_incarnation> upstream_;  ///< The last incarnation seen.
   bool upstream_present_ = false;
+  time_point last_heartbeat_{};
   std::optional<time_point> address_failed_at_;  ///< Since then, another incarnation may be there.
   bool upstream_ready_ = false;
   bool restarting_ = false;
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -45,6 +45,7 @@
 
 void claim_holder::update_upstream(std::optional<upstream_incarnation> incarnation, bool ready,
                                    std::uint32_t slots, time_point last_heartbeat, time_point now) {
+  last_heartbeat_ = last_heartbeat;
   if (address_failed_at_ && last_heartbeat > *address_failed_at_) address_failed_at_.reset();
   if (incarnation.has_value() != upstream_present_ || ready != upstream_ready_)
     report_requested_ = true;
@@ -69,6 +70,11 @@
   reconcile(now);
 }
 
+void claim_holder::connection_refused(time_point at) {
+  if (at < last_heartbeat_) return;
+  address_failed_at_ = std::max(address_failed_at_.value_or(at), at);
+}
+
 void claim_holder::prepare_restart(time_point now) {
   restarting_ = true;
   report_requested_ = true;
@@ -304,7 +310,7 @@
         range.held_until, now + timing_.margin + scaled(hold, 1 + timing_.upstream_clock_error));
     calls_[range.call] = {now, hold, range.keys, range.fence};
     ++grants_in_flight_;
-    out.emplace_back(grant_keys{range.call, range.keys, range.fence,
+    out.emplace_back(grant_keys{range.call, *upstream_, range.keys, range.fence,
                                 std::chrono::floor<std::chrono::milliseconds>(hold),
                                 range.confirmed ? std::string{} : range.handover});
   }
@@ -315,7 +321,7 @@
     if (range.state != range_state::releasing || range.call != 0) continue;
     range.call = next_call_++;
     calls_[range.call] = {now, {}, range.keys, range.fence};
-    out.emplace_back(release_keys{range.call, range.keys, range.fence});
+    out.emplace_back(release_keys{range.call, *upstream_, range.keys, range.fence});
   }
 }
 
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -75,6 +75,8 @@
       holder_->set_load(gate_.key_loads(now), gate_.service_time());
       holder_->set_slots(gate_.usable_slots());
     }
+    if (const auto refused_at = gate_.connection_refused_at())
+      holder_->connection_refused(*refused_at);
     for (const auto& action : holder_->tick(now)) carry_out(action);
     heartbeats_.tick(*holder_, now);
   }
--- a/src/fleet/internal/connection_pool.cpp
+++ b/src/fleet/internal/connection_pool.cpp
@@ -76,6 +76,7 @@
                                               asio::redirect_error(asio::use_awaitable, error));
   }
   cancel.clear();
+  if (error == asio::error::connection_refused && on_refused_) on_refused_(connection->to);
   if (error || !connection->socket.is_open()) co_return nullptr;
   ++opened_;
   connection->socket.non_blocking(true, error);
--- a/src/fleet/internal/connection_pool.h
+++ b/src/fleet/internal/connection_pool.h
@@ -65,6 +65,8 @@
   void drop_idle(const endpoint& to) { idle_.erase(to); }
   /// Closes the connections to `to` that have been idle since before `when`.
   void drop_idle_since(const endpoint& to, time_point when);
+  /// Sets the callback for an address that refused a connection: no process listens there.
+  void on_refused(std::function<void(const endpoint&)> action) { on_refused_ = std::move(action); }
   /// Returns the number of connections opened so far.
   [[nodiscard]] std::uint64_t connections_opened() const { return opened_; }
   /// Returns the executor of the connections.
@@ -77,6 +79,7 @@
   pool_limits limits_;
   std::map<endpoint, std::vector<connection_ptr>> idle_;
   std::uint64_t opened_ = 0;
+  std::function<void(const endpoint&)> on_refused_;
 };
 
 /// Closes a connection at a deadline. The deadline can be moved; destruction disarms it.
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -56,7 +56,9 @@
       pool_(executor, {.idle_limit = idle_limit_default}),
       transfers_({.bytes_per_second = settings_.link_bytes_per_second}),
       queue_(requests::admission_settings{}),
-      limit_timer_(executor) {}
+      limit_timer_(executor) {
+  pool_.on_refused([this](const endpoint&) { connection_refused_at_ = boot_now(); });
+}
 
 void gate_service::update_upstream(std::optional<routing::upstream_incarnation> incarnation,
                                    const std::string& service, std::uint32_t slots) {
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -106,6 +106,10 @@
   [[nodiscard]] const endpoint& upstream() const { return settings_.upstream; }
   /// Returns the number of consecutive failures to connect.
   [[nodiscard]] std::uint32_t connect_failures() const { return connect_failures_; }
+  /// Returns when the upstream's address last refused a connection.
+  [[nodiscard]] std::optional<time_point> connection_refused_at() const {
+    return connection_refused_at_;
+  }
   /// Resets the number of consecutive failures to connect.
   void reset_connect_failures() { connect_failures_ = 0; }
 
@@ -170,6 +174,7 @@
   std::function<void(const routing::upstream_incarnation&)> on_leaving_;
   duration service_time_{};
   std::uint32_t connect_failures_ = 0;
+  std::optional<time_point> connection_refused_at_;
   std::uint32_t retries_running_ = 0;
   gate_counts counts_;
   boost::asio::steady_timer limit_timer_;
--- a/src/fleet/internal/key_calls.cpp
+++ b/src/fleet/internal/key_calls.cpp
@@ -42,14 +42,15 @@
 
 }  // namespace
 
-asio::awaitable<exchange_outcome> key_calls::call(platform::call call, duration timeout) {
+asio::awaitable<exchange_outcome> key_calls::call(routing::upstream_incarnation to,
+                                                  platform::call call, duration timeout) {
   const auto now = boot_now();
-  exchange_request request{.head = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " +
-                                   gate_.upstream() + "\r\nContent-Type: application/json\r\n" +
-                                   platform::expected_upstream_header(gate_.upstream_id()),
-                           .body = std::make_shared<body_pipe>(),
-                           .deadline = now + timeout,
-                           .send_before = now + timing_.send_limit};
+  exchange_request request{
+      .head = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " + gate_.upstream() +
+              "\r\nContent-Type: application/json\r\n" + platform::expected_upstream_header(to.id),
+      .body = std::make_shared<body_pipe>(),
+      .deadline = now + timeout,
+      .send_before = now + timing_.send_limit};
   request.body->append(call.body);
   request.body->finish();
   cancellation never_cancelled;
@@ -59,9 +60,9 @@
 
 asio::awaitable<claims::grant_result> key_calls::grant(claims::grant_keys request) {
   const auto hold = std::chrono::duration_cast<std::chrono::milliseconds>(request.hold);
-  const auto exchange =
-      co_await call(platform::grant_call(request.keys, request.fence, hold, request.handover),
-                    timing_.call_timeout);
+  const auto exchange = co_await call(
+      request.upstream, platform::grant_call(request.keys, request.fence, hold, request.handover),
+      timing_.call_timeout);
   const auto result = grant_result_of(exchange);
   if (result != claims::grant_result::granted) {
     support::event_text line("grant_failed");
@@ -76,7 +77,8 @@
 
 asio::awaitable<std::optional<std::string>> key_calls::release(claims::release_keys request) {
   const auto exchange =
-      co_await call(platform::release_call(request.keys, request.fence), timing_.release_timeout);
+      co_await call(request.upstream, platform::release_call(request.keys, request.fence),
+                    timing_.release_timeout);
   std::optional<std::string> handover;
   if (exchange.result == exchange_result::answered && exchange.status == status_ok)
     handover = platform::handover_of(exchange.head);
--- a/src/fleet/internal/key_calls.h
+++ b/src/fleet/internal/key_calls.h
@@ -29,7 +29,9 @@
   boost::asio::awaitable<std::optional<std::string>> release(claims::release_keys request);
 
  private:
-  boost::asio::awaitable<exchange_outcome> call(platform::call call, duration timeout);
+  /// Calls the upstream in the incarnation `to`; any other one refuses the call.
+  boost::asio::awaitable<exchange_outcome> call(routing::upstream_incarnation to,
+                                                platform::call call, duration timeout);
 
   gate_service& gate_;
   const claims::claim_timing& timing_;
--- a/tests/decisions/claims/claim_holder_test.cpp
+++ b/tests/decisions/claims/claim_holder_test.cpp
@@ -295,6 +295,22 @@
   expect_equal(fixture.tick<grant_keys>().size(), 1U);
 }
 
+Test(claim_holder, grants_nothing_after_a_refused_connection_before_the_next_heartbeat) {
+  holder_fixture fixture;
+  fixture.register_as(7);
+  fixture.holder.map_seen(fixture.map_naming(7, 1, 10), fixture.now);
+  fixture.now += milliseconds{100};
+  fixture.reply(fixture.timing.reply_lease);
+  // The next incarnation may have the id of the one that was granted the keys.
+  const auto refused_at = fixture.now;
+  fixture.holder.connection_refused(refused_at);
+  expect_true(fixture.tick<grant_keys>().empty());
+  fixture.now += milliseconds{100};
+  fixture.holder.update_upstream(incarnation, true, 12, fixture.now, fixture.now);
+  fixture.holder.connection_refused(refused_at);
+  expect_equal(fixture.tick<grant_keys>().size(), 1U);
+}
+
 Test(claim_holder, an_older_map_changes_nothing) {
   holder_fixture fixture;
   fixture.register_as(7);
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -215,6 +215,10 @@
       return request->respond({.status = 404});
     }
     if (body.is_discarded()) return request->respond({.status = 400});
+    const std::string expected = header(request, "X-Expected-Instance");
+    if (expected.empty())
+      checker_.report_violation(settings_.name + " got a key command that names no upstream");
+    if (expected != id_) return request->respond({.status = 421});
     if (delays_grants_ && random_() % 2 == 0) {
       // Applied later, when the connection is already closed.
       run_after(std::chrono::milliseconds{2'000 + random_() % 4'000},
