Take for the answer to a release only what can be one

Cause: grants and releases shared the kept connections of requests without telling the client whose answer is whose, so a late copy of any answer with status 200 ended them.

Change: an answer with a request's id is skipped by key calls, a success without a hand-over by releases, and a connection that answered a release is not used for the next. owner_of decides it, apart from the reading.

--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -30,10 +30,6 @@
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
-std::string answer_id(const answer_head& head) {
-  return platform::read_answer_metadata(head.result_int(), head).id;
-}
-
 std::optional<duration> answer_idle_limit(const answer_head& head) {
   const auto limit = platform::read_answer_metadata(head.result_int(), head).idle_limit;
   if (!limit) return std::nullopt;
@@ -349,7 +345,7 @@
       .body = request->body,
       .is_head = request->method == "HEAD",
       .id = request->id,
-      .id_of = &answer_id,
+      .id_of = [](const answer_head& head) { return platform::answer_id(head); },
       .answer_key = request->id,
       .answer_key_until = request->deadline,
       .idle_limit_of = &answer_idle_limit,
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -118,6 +118,23 @@
   body->on_change(nullptr);
 }
 
+/// Whose answer it is that arrived.
+enum class answer_owner {
+  request,  ///< The answer to the request.
+  unknown,  ///< It names no request, although answers usually do.
+  other     ///< The answer to another request, or an interim one.
+};
+
+answer_owner owner_of(const exchange_request& request, unsigned status, const answer_head& head) {
+  if (status < first_final_status) return answer_owner::other;
+  if (request.id_of == nullptr) return answer_owner::request;
+  const std::string id = request.id_of(head);
+  if (!id.empty()) return id == request.id ? answer_owner::request : answer_owner::other;
+  if (request.accepts_anonymous != nullptr && !request.accepts_anonymous(head))
+    return answer_owner::other;
+  return request.id.empty() ? answer_owner::request : answer_owner::unknown;
+}
+
 /// Receives the rest of a large answer while it is being forwarded.
 asio::awaitable<void> pump_answer(connection_pool& pool, connection_ptr connection,
                                   std::shared_ptr<answer_parser> parser,
@@ -263,17 +280,13 @@
       if (parser->is_header_done() && body_of() && body_of()->ready()) break;
     }
     outcome.status = parser->get().result_int();
-    const bool interim = outcome.status < first_final_status;
-    bool is_anonymous = false;
-    if (parser->is_done() && (interim || (request.id_of != nullptr && !request.id.empty()))) {
-      const std::string id = interim ? std::string{} : request.id_of(parser->get().base());
-      is_anonymous = id.empty();
-      if (interim || (!id.empty() && id != request.id)) {
-        if (strays < stray_answers_max) continue;
-        fail_with(exchange_result::malformed, "answers of other requests");
-        co_return outcome;
-      }
+    const auto belongs = owner_of(request, outcome.status, parser->get().base());
+    if (parser->is_done() && belongs == answer_owner::other) {
+      if (strays < stray_answers_max) continue;
+      fail_with(exchange_result::malformed, "answers of other requests");
+      co_return outcome;
     }
+    const bool is_anonymous = belongs == answer_owner::unknown;
     outcome.result = exchange_result::answered;
     outcome.body = body_of() ? body_of() : std::make_shared<body_pipe>();
     const bool done = parser->is_done();
@@ -282,8 +295,9 @@
     if (request.idle_limit_of != nullptr) {
       if (const auto limit = request.idle_limit_of(outcome.head)) connection->idle_limit = *limit;
     }
-    // After a success there is no further attempt.
-    if (!request.answer_key.empty() && outcome.status >= first_failure_status)
+    const bool may_be_followed =
+        request.repeats_after_success || outcome.status >= first_failure_status;
+    if (!request.answer_key.empty() && may_be_followed)
       connection->repeatable.add(request.answer_key, request.answer_key_until, boot_now());
     cancel.clear();
     if (done) {
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -21,14 +21,19 @@
   std::string head;
   std::shared_ptr<body_pipe> body;  ///< Null if the request has no body.
   bool is_head = false;             ///< HEAD request: the answer has no body.
-  /// If set, answers with another id belong to other requests; the first few of them are skipped.
+  /// If `id_of` is set, answers with an id other than `id` belong to other requests; the first few
+  /// of them are skipped.
   std::string id;
   std::string (*id_of)(const answer_head&) = nullptr;
+  /// If set, tells whether an answer without an id can be the answer to this request.
+  bool (*accepts_anonymous)(const answer_head&) = nullptr;
   /// Answers to exchanges with the same key can't be told apart, as those to the attempts of one
-  /// request. A connection that brought one of them, with a failure, is not used for the next.
+  /// request. A connection that brought one of them is not used for the next, unless it was a
+  /// success after which there is none.
   std::string answer_key;
   /// When the last exchange with `answer_key` will have ended.
   time_point answer_key_until{};
+  bool repeats_after_success = false;  ///< Exchanges with `answer_key` may follow a success.
   /// Returns the peer's keep-alive timeout, if the answer announces one.
   std::optional<duration> (*idle_limit_of)(const answer_head&) = nullptr;
   /// If set, the request expects 100 Continue; without it by this time, the body is not sent.
--- a/src/fleet/internal/key_calls.h
+++ b/src/fleet/internal/key_calls.h
@@ -29,9 +29,10 @@
   boost::asio::awaitable<std::optional<std::string>> release(claims::release_keys request);
 
  private:
-  /// Calls the upstream in the incarnation `to`; any other one refuses the call.
-  boost::asio::awaitable<exchange_outcome> call(routing::upstream_incarnation to,
-                                                platform::call call, duration timeout);
+  /// Returns the request that calls the incarnation `to` of the upstream; any other one refuses it.
+  [[nodiscard]] exchange_request request_to(const routing::upstream_incarnation& to,
+                                            const platform::call& call, duration timeout) const;
+  boost::asio::awaitable<exchange_outcome> run(exchange_request request);
 
   gate_service& gate_;
   const claims::claim_timing& timing_;
