--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr duration listen_log_interval = std::chrono::seconds{1};
 constexpr duration housekeeping_interval = std::chrono::milliseconds{100};
 /// The first change is applied at once; further changes within this time form one batch.
 constexpr duration registration_batching = std::chrono::milliseconds{900};
@@ -95,6 +96,12 @@
 }
 
 std::string agent_process::start() {
+  if (const auto failed = listen()) return failed->describe();
+  serve();
+  return {};
+}
+
+std::optional<listen_failure> agent_process::listen() {
   const std::string ip = settings_.ip + ":";
   const std::array<std::pair<http_server*, endpoint>, 5> servers{
       std::pair{&callers_server_, settings_.callers},
@@ -103,14 +110,29 @@
       std::pair{&peer_server_, settings_.peer_address()},
       std::pair{&metrics_server_, ip + std::to_string(settings_.metrics_port)}};
   for (const auto& [server, address] : servers)
-    if (auto why = server->start(address); !why.empty()) return why;
+    if (auto failed = server->listen(address)) return failed;
+  return std::nullopt;
+}
+
+void agent_process::log_listen_failure(const listen_failure& failed) {
+  const auto now = boot_now();
+  if (now < next_listen_log_) return;
+  next_listen_log_ = now + listen_log_interval;
+  support::event_text line("listen_failed");
+  line.add("address", failed.address)
+      .add_quoted("why", failed.why.message())
+      .add_quoted("remedy", "free the address, or change it in " + path_);
+  log_event(line.text());
+  log_.flush(now);
+}
+
+void agent_process::serve() {
   log_event("start version=" MASTICSHUNT_VERSION " zone=" + settings_.zone +
             " service=" + settings_.service + " upstream=" + settings_.upstream +
             " store=" + settings_.store + " life=" + std::to_string(incarnation_));
   watch_store();
   housekeeping();
   wait_for_signal();
-  return {};
 }
 
 void agent_process::watch_store() {
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -30,7 +30,8 @@
 
 /// An agent with one thread and one event loop.
 ///
-/// Life cycle: construct, call `start`, run the context until it stops. After a stop signal the
+/// Life cycle: construct, call `start`, or `listen` until it succeeds and then `serve`, and run the
+/// context until it stops. After a stop signal the
 /// agent resigns its leaderships, stops accepting requests, completes those in flight and stops
 /// the context; it does not wait for them longer than the grace period.
 class agent_process {
@@ -39,6 +40,13 @@
 
   /// Opens the endpoints and starts the agent. Returns an empty text, or the reason of a failure.
   std::string start();
+  /// Opens the endpoints that are not open yet. Returns why one of them can't be opened, or
+  /// nothing; it may be called again after a failure.
+  std::optional<listen_failure> listen();
+  /// Serves at the open endpoints.
+  void serve();
+  /// Logs that an endpoint can't be opened yet, from time to time.
+  void log_listen_failure(const listen_failure& failed);
 
   /// Stops the agent as SIGTERM does.
   void begin_shutdown();
@@ -91,6 +99,7 @@
   routing::state_confirmation state_confirmation_;
   std::optional<time_point> spread_until_;  ///< Until then, peers may have missed the new version.
   std::mt19937_64 random_;
+  time_point next_listen_log_{};
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/connection_pool.cpp
+++ b/src/fleet/internal/connection_pool.cpp
@@ -78,6 +78,10 @@
   error_code error;
   const auto address = tcp_endpoint(to, error);
   if (error) co_return nullptr;
+  // Otherwise no process could listen at the port from which this one connects.
+  connection->socket.open(address.protocol(), error);
+  if (!error) connection->socket.set_option(tcp::socket::reuse_address(true), error);
+  if (error) co_return nullptr;
   cancel.on_request([connection] {
     error_code ignored;
     connection->socket.close(ignored);
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -425,15 +425,25 @@
 }
 
 std::string http_server::start(const endpoint& address) {
+  const auto failed = listen(address);
+  return failed ? failed->describe() : std::string{};
+}
+
+std::optional<listen_failure> http_server::listen(const endpoint& address) {
+  if (acceptor_.is_open()) return std::nullopt;
   error_code error;
   const auto listen_endpoint = tcp_endpoint(address, error);
   if (!error) acceptor_.open(listen_endpoint.protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor_.bind(listen_endpoint, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return "cannot listen at " + address + ": " + error.message();
+  if (error) {
+    error_code ignored;
+    acceptor_.close(ignored);
+    return listen_failure{address, error};
+  }
   accept_next();
-  return {};
+  return std::nullopt;
 }
 
 void http_server::accept_next() {
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -87,6 +87,16 @@
 
 class server_session;
 
+/// An address at which no server could listen.
+struct listen_failure {
+  endpoint address;
+  boost::system::error_code why;
+
+  [[nodiscard]] std::string describe() const {
+    return "cannot listen at " + address + ": " + why.message();
+  }
+};
+
 /// Listens at an address and passes each request to the handler.
 ///
 /// Life cycle: construct, call `start`, call `sweep` a few times per second. `stop_accepting`
@@ -100,6 +110,9 @@
 
   /// Starts to listen at `address`. Returns an empty text, or the reason of a failure.
   std::string start(const endpoint& address);
+  /// Starts to listen at `address`, unless it listens already. Returns the reason of a failure,
+  /// after which it can be tried again, or nothing.
+  std::optional<listen_failure> listen(const endpoint& address);
   /// Closes the listener.
   void stop_accepting();
   /// Closes idle connections at once, and others after their current requests.
--- a/tests/fleet/connection_loss_test.cpp
+++ b/tests/fleet/connection_loss_test.cpp
@@ -196,3 +196,31 @@
 Test(store_connections, that_fall_silent_end_within_the_time_for_a_new_desired_state) {
   expect_true(silence_until_end(store_connections) <= fleet_settings{}.config);
 }
+
+namespace {
+
+void ignore_request(std::shared_ptr<server_request> /*request*/) {}
+
+/// Opens a connection and listens at the port that it comes from. Returns the listener's failure.
+std::string listen_where_connection_comes_from() {
+  asio::io_context context;
+  tcp::acceptor peer(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  connection_pool pool(context.get_executor(), {});
+  connection_ptr connection;
+  const auto open = [&]() -> asio::awaitable<void> {
+    cancellation never_cancelled;
+    connection = co_await pool.acquire("127.0.0.1:" + std::to_string(peer.local_endpoint().port()),
+                                       boot_now() + wait_limit, never_cancelled);
+  };
+  asio::co_spawn(context, open(), asio::detached);
+  context.run();
+  http_server server(context.get_executor(), &ignore_request);
+  const auto port = connection->socket.local_endpoint().port();
+  return server.start("127.0.0.1:" + std::to_string(port));
+}
+
+}  // namespace
+
+Test(client, leaves_the_port_that_it_connects_from_to_a_listener) {
+  expect_equal(listen_where_connection_comes_from(), "");
+}
