Read settings again that can't be used yet, for two seconds

Cause: the file was read once.

Change: agent_startup reads it again every 50 ms for 2 s, then ends with the reason as before. The tests also show that a reload signal before the agent serves doesn't end it, and that a stop signal does.

A file that is cut where it is still valid is not noticed; that is open.

--- a/src/fleet/internal/agent_startup.cpp
+++ b/src/fleet/internal/agent_startup.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "masticshunt/fleet/settings.h"
+#include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
 
@@ -17,6 +18,9 @@
 
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
+/// Longer than a file takes to be written, and short for an operator who made a mistake in it.
+constexpr duration settings_wait_max = std::chrono::seconds{2};
+constexpr duration settings_retry_interval = std::chrono::milliseconds{50};
 constexpr duration listen_retry_interval = std::chrono::milliseconds{100};
 
 }  // namespace
@@ -42,18 +46,25 @@
 }
 
 asio::awaitable<void> agent_startup::run() {
-  if (read_settings()) co_await listen();
+  co_await read_settings();
+  if (process_) co_await listen();
 }
 
-bool agent_startup::read_settings() {
-  masticshunt::failure reason;
-  auto settings = load_fleet_settings(path_, reason);
-  if (!settings) {
-    fail({exit_usage, reason.describe()});
-    return false;
+asio::awaitable<void> agent_startup::read_settings() {
+  const auto until = boot_now() + settings_wait_max;
+  for (;;) {
+    masticshunt::failure reason;
+    auto settings = load_fleet_settings(path_, reason);
+    if (settings) {
+      process_ = std::make_unique<agent_process>(context_, std::move(*settings), path_);
+      co_return;
+    }
+    if (boot_now() >= until) {
+      fail({exit_usage, reason.describe()});
+      co_return;
+    }
+    co_await pause(settings_retry_interval);
   }
-  process_ = std::make_unique<agent_process>(context_, std::move(*settings), path_);
-  return true;
 }
 
 asio::awaitable<void> agent_startup::listen() {
--- a/src/fleet/internal/agent_startup.h
+++ b/src/fleet/internal/agent_startup.h
@@ -21,7 +21,8 @@
 };
 
 /// Starts an agent, and waits for what may be missing only for a moment: an address that its
-/// predecessor still holds, or that another process connects from.
+/// predecessor still holds or that another process connects from, and settings that are being
+/// written.
 ///
 /// Life cycle: construct before anything else, so that no signal ends the process from then on;
 /// call `begin` and run the context. A stop signal before the agent serves stops the context.
@@ -40,7 +41,8 @@
 
  private:
   boost::asio::awaitable<void> run();
-  bool read_settings();
+  /// Reads the settings; a file that can't be used is read again for a while.
+  boost::asio::awaitable<void> read_settings();
   /// Opens the endpoints, and serves once all are open.
   boost::asio::awaitable<void> listen();
   boost::asio::awaitable<void> pause(duration span);
--- a/tests/fleet/agent_startup_test.cpp
+++ b/tests/fleet/agent_startup_test.cpp
@@ -82,3 +82,42 @@
   expect_true(agent.startup.failure()->message.find("cannot listen at 192.") != std::string::npos,
               agent.startup.failure()->message);
 }
+
+Test(agent_startup, reads_settings_again_that_are_only_half_written) {
+  starting_agent agent;
+  const auto whole = agent.settings();
+  agent.write(whole.substr(0, whole.size() / 2));
+  agent.startup.begin();
+  agent.run_for(milliseconds{500});
+  expect_true(!agent.startup.failure() && !agent.startup.serves());
+  agent.write(whole);
+  agent.run_for(seconds{5});
+  expect_true(agent.startup.serves());
+}
+
+Test(agent_startup, gives_up_settings_that_stay_unusable_and_says_why) {
+  starting_agent agent;
+  agent.write("[agent]\nname = vm-1\n");
+  agent.startup.begin();
+  agent.run_for(seconds{10});
+  expect_true(agent.startup.failure().has_value());
+  expect_true(!agent.startup.failure()->message.empty());
+}
+
+Test(agent_startup, outlives_a_reload_signal_that_arrives_before_it_serves) {
+  starting_agent agent;
+  std::raise(SIGHUP);
+  agent.startup.begin();
+  agent.run_for(seconds{5});
+  expect_true(agent.startup.serves());
+}
+
+Test(agent_startup, ends_on_a_stop_signal_while_it_waits) {
+  starting_agent agent;
+  tcp::acceptor predecessor(agent.context, agent.callers());
+  agent.startup.begin();
+  agent.run_for(milliseconds{200});
+  std::raise(SIGTERM);
+  agent.run_for(seconds{5});
+  expect_true(agent.context.stopped() && !agent.startup.failure());
+}
