Keep no bytes without end, and wait for the rest of a chunk line

Found with the test for it: an agent that streams a chunked answer of more than 512 KiB kept its core busy for good once a chunk line arrived in two parts, and served nobody.

Cause: the parser leaves the start of an unfinished chunk line or of trailers in the buffer. While an answer was buffered, it grew with each read, without a limit; while an answer was streamed, no further read was made, so the loop never waited. The same lack of a limit stood in the server.

Change: answer_reader is the one place that reads answers: at most 64 KiB of a head, a chunk line or trailers wait for their end, and it reads on when the parser needs more. The wait for 100 Continue has the same limit, and the server that of its heads; a connection whose body can't be read is closed.

--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -7,40 +7,25 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <optional>
 #include <utility>
 
+#include "fleet/internal/answer_reader.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using boost::system::error_code;
-using tcp = asio::ip::tcp;
 
 namespace {
 
-constexpr std::size_t read_bytes = 16 * 1024;
 constexpr std::size_t inline_body_max = 64 * 1024;
-constexpr std::uint32_t header_bytes_max = 64 * 1024;
-constexpr std::uint64_t answer_bytes_max = std::uint64_t{1} << 32U;
 constexpr duration body_progress_timeout = std::chrono::seconds{20};
 constexpr int stray_answers_max = 2;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned first_failure_status = 300;
 
-using answer_parser = http::response_parser<pipe_body>;
-
-asio::awaitable<bool> fill(client_connection& connection, error_code& error) {
-  const auto got = co_await connection.socket.async_read_some(
-      connection.buffer.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, error));
-  connection.buffer.commit(got);
-  if (got > 0) connection.received_at = boot_now();
-  co_return !error;
-}
-
 std::string framing_lines(const std::shared_ptr<body_pipe>& body) {
   if (!body) return "\r\n";
   if (const auto length = body->length())
@@ -69,8 +54,10 @@
         co_return continue_result::received;
       }
     }
+    if (bytes.size() > answer_reader::part_bytes_max) co_return continue_result::no_answer;
     error_code error;
-    if (!co_await fill(connection, error)) co_return continue_result::no_answer;
+    const bool received = co_await receive_some(connection, error);
+    if (!received) co_return continue_result::no_answer;
   }
 }
 
@@ -135,14 +122,16 @@
   return request.id.empty() ? answer_owner::request : answer_owner::unknown;
 }
 
-/// Receives the rest of a large answer while it is being forwarded.
+/// Receives the rest of a large answer while it is being forwarded. The connection returns to the
+/// pool after it if `reusable`, and if the request was `sent` completely.
 asio::awaitable<void> pump_answer(connection_pool& pool, connection_ptr connection,
-                                  std::shared_ptr<answer_parser> parser,
-                                  std::shared_ptr<body_pipe> body, std::shared_ptr<bool> sent) {
+                                  std::shared_ptr<answer_reader> answer, bool reusable,
+                                  std::shared_ptr<bool> sent) {
+  const auto body = answer->body();
   watchdog guard(*connection, boot_now() + body_progress_timeout);
   asio::steady_timer space(connection->socket.get_executor());
   body->on_writable([&space] { space.cancel(); });
-  while (!parser->is_done()) {
+  while (!answer->done()) {
     if (body->full()) {
       error_code ignored;
       space.expires_after(body_progress_timeout);
@@ -151,21 +140,16 @@
     }
     guard.move(boot_now() + body_progress_timeout);
     error_code error;
-    if (connection->buffer.size() == 0) co_await fill(*connection, error);
-    if (error == asio::error::eof && parser->need_eof()) {
-      error = {};
-      parser->put_eof(error);
-      break;
-    }
-    if (!error) connection->buffer.consume(parser->put(connection->buffer.data(), error));
-    if (error && error != http::error::need_more) break;
+    const bool received = co_await answer->read_some(error);
+    if (!received) break;
   }
   body->on_writable(nullptr);
-  if (!parser->is_done()) {
+  if (!answer->done()) {
     body->fail();
     co_return;
   }
-  if (parser->keep_alive() && *sent && connection->buffer.size() == 0) pool.release(connection);
+  if (reusable && answer->keep_alive() && *sent && connection->buffer.size() == 0)
+    pool.release(connection);
 }
 
 }  // namespace
@@ -251,47 +235,32 @@
   }
 
   for (int strays = 0;; ++strays) {
-    auto parser = std::make_shared<answer_parser>();
-    parser->eager(true);
-    parser->header_limit(header_bytes_max);
-    parser->body_limit(answer_bytes_max);
-    parser->skip(request.is_head);
-    const auto body_of = [&parser] { return parser->get().body(); };
-    while (!parser->is_done()) {
-      if (connection->buffer.size() == 0 && !co_await fill(*connection, error)) {
-        if (error == asio::error::eof && parser->is_header_done() && parser->need_eof()) {
-          error = {};
-          parser->put_eof(error);
-          break;
-        }
-        fail_with(exchange_result::broken, "receive: " + error.message());
+    auto answer = std::make_shared<answer_reader>(connection, request.is_head);
+    bool received = true;
+    while (received && !answer->head_done()) received = co_await answer->read_some(error);
+    const auto belongs =
+        received ? owner_of(request, answer->status(), answer->head()) : answer_owner::request;
+    if (received && belongs == answer_owner::other) {
+      received = co_await answer->skip(error);
+      if (received && strays < stray_answers_max) continue;
+      if (received) {
+        fail_with(exchange_result::malformed, "answers of other requests");
         co_return outcome;
       }
-      connection->buffer.consume(parser->put(connection->buffer.data(), error));
-      if (error && error != http::error::need_more) {
+    }
+    while (received && !answer->ready()) received = co_await answer->read_some(error);
+    if (!received) {
+      if (is_malformed(error))
         fail_with(exchange_result::malformed, "answer: " + error.message());
-        co_return outcome;
-      }
-      if (error == http::error::need_more && connection->buffer.size() > 0 &&
-          !co_await fill(*connection, error)) {
+      else
         fail_with(exchange_result::broken, "receive: " + error.message());
-        co_return outcome;
-      }
-      if (parser->is_header_done() && body_of() && body_of()->ready()) break;
-    }
-    outcome.status = parser->get().result_int();
-    const auto belongs = owner_of(request, outcome.status, parser->get().base());
-    if (parser->is_done() && belongs == answer_owner::other) {
-      if (strays < stray_answers_max) continue;
-      fail_with(exchange_result::malformed, "answers of other requests");
       co_return outcome;
     }
-    const bool is_anonymous = belongs == answer_owner::unknown;
     outcome.result = exchange_result::answered;
-    outcome.body = body_of() ? body_of() : std::make_shared<body_pipe>();
-    const bool done = parser->is_done();
-    if (done && !outcome.body->complete()) outcome.body->finish();
-    outcome.head = parser->get().base();
+    outcome.status = answer->status();
+    outcome.body = answer->body() ? answer->body() : std::make_shared<body_pipe>();
+    if (answer->done() && !outcome.body->complete()) outcome.body->finish();
+    outcome.head = answer->head();
     if (request.idle_limit_of != nullptr) {
       if (const auto limit = request.idle_limit_of(outcome.head)) connection->idle_limit = *limit;
     }
@@ -300,12 +269,12 @@
     if (!request.answer_key.empty() && may_be_followed)
       connection->repeatable.add(request.answer_key, request.answer_key_until, boot_now());
     cancel.clear();
-    if (done) {
+    // An answer without the id may belong to an earlier request, and the own one may follow.
+    const bool reusable = strays == 0 && belongs == answer_owner::request;
+    if (answer->done()) {
       // Bytes after the answer belong to no request, so the connection is not reused.
-      // An answer without the id may belong to an earlier request, and the own one may follow.
-      const bool reusable = parser->keep_alive() && *sent && connection->buffer.size() == 0 &&
-                            strays == 0 && !is_anonymous && connection->socket.is_open();
-      if (reusable) pool.release(connection);
+      const bool clean = answer->keep_alive() && *sent && connection->buffer.size() == 0;
+      if (reusable && clean && connection->socket.is_open()) pool.release(connection);
       co_return outcome;
     }
     cancel.on_request([connection] {
@@ -313,7 +282,7 @@
       connection->socket.close(ignored);
     });
     asio::co_spawn(connection->socket.get_executor(),
-                   pump_answer(pool, connection, parser, outcome.body, sent), asio::detached);
+                   pump_answer(pool, connection, answer, reusable, sent), asio::detached);
     co_return outcome;
   }
 }
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -124,6 +125,9 @@
         if (!request && !header_since_) header_since_ = boot_now();
         error_code error;
         buffer_.consume(parser.put(buffer_.data(), error));
+        // What the parser leaves is the start of a head, a chunk line or trailers.
+        if (error == http::error::need_more && buffer_.size() > parts_bytes_max())
+          error = http::error::header_limit;
         if (error && error != http::error::need_more) {
           co_return refuse(error, request);
         }
@@ -154,6 +158,10 @@
     co_return socket_.is_open();
   }
 
+  [[nodiscard]] std::size_t parts_bytes_max() const {
+    return std::max<std::size_t>(server_->limits().header_bytes, read_size);
+  }
+
   /// Returns true if the end of the connection has arrived, and no bytes before it.
   bool peer_has_closed() {
     char byte = 0;
@@ -222,7 +230,9 @@
   bool refuse(const error_code& error, const std::shared_ptr<server_request>& request) {
     read_closed_ = true;
     if (request) {
+      // Nothing tells where the rest of such a body ends, so none of it is read.
       request->body->fail();
+      drop();
       return false;
     }
     auto invalid = std::make_shared<server_request>();
