--- a/tests/platform_adapter/headers_test.cpp
+++ b/tests/platform_adapter/headers_test.cpp
@@ -146,3 +146,13 @@
   expect_equal(read_agent_request("DELETE", "/-/instances/i-1").upstream_id, "i-1");
   expect_true(read_agent_request("POST", "/-/instances/i-1").kind == agent_request_kind::other);
 }
+
+Test(headers, a_hand_over_that_is_no_text_is_left_empty) {
+  platform::fields answer;
+  expect_true(!platform::handover_of(answer));
+  answer.set("X-Handover", "5c0e7a21");
+  expect_true(platform::handover_of(answer) == "5c0e7a21");
+  // The leader failed on it while it wrote the map as JSON, and led no more.
+  answer.set("X-Handover", "\xff\xfe");
+  expect_true(platform::handover_of(answer) == "");
+}
