Log what is thrown in a handler or a coroutine, and serve on

Cause: nothing caught what leaves the event loop, and every coroutine was started with asio::detached, which drops exceptions.

Change: spawn starts coroutines and lets their exceptions leave the event loop; run_context logs handler_failed with the reason and goes on. Housekeeping arms its timer first, so that one failure doesn't end it.

Measured: agent_startup::serves_on_after_an_exception_has_left_a_handler and spawn::passes_on_an_exception_that_leaves_a_coroutine pass. That the process ended before is read from the code (no catch around run); the test's class is newer than that code.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -3,13 +3,12 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
 #include "fleet/internal/agent_gauges.h"
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -114,6 +113,13 @@
   return std::nullopt;
 }
 
+void agent_process::log_exception(std::string_view what) {
+  support::event_text line("handler_failed");
+  line.add_quoted("why", what);
+  log_event(line.text());
+  log_.flush(boot_now());
+}
+
 void agent_process::log_listen_failure(const listen_failure& failed) {
   const auto now = boot_now();
   if (now < next_listen_log_) return;
@@ -190,8 +196,8 @@
                   apply_registration(change.object);
                 }
               }});
-  asio::co_spawn(context_, state_watch_->run(), asio::detached);
-  asio::co_spawn(context_, registration_watch_->run(), asio::detached);
+  spawn(context_, state_watch_->run());
+  spawn(context_, registration_watch_->run());
 }
 
 void agent_process::update_state(const std::string& text, std::string_view from) {
@@ -269,6 +275,11 @@
 }
 
 void agent_process::housekeeping() {
+  // First of all, so that what fails below is tried again.
+  housekeeping_timer_.expires_after(housekeeping_interval);
+  housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) housekeeping();
+  });
   const auto now = boot_now();
   for (auto* server :
        {&callers_server_, &readiness_server_, &upstream_server_, &peer_server_, &metrics_server_})
@@ -284,16 +295,12 @@
   schedule_claims();
   if (shutdown_) advance_shutdown(now);
   log_.flush(now);
-  housekeeping_timer_.expires_after(housekeeping_interval);
-  housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) housekeeping();
-  });
 }
 
 void agent_process::confirm_state(time_point now) {
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   if (state_confirmation_.due(now, view_.directory.size(), draw))
-    asio::co_spawn(context_, state_watch_->confirm(), asio::detached);
+    spawn(context_, state_watch_->confirm());
 }
 
 bool agent_process::ready() const {
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -45,6 +45,8 @@
   std::optional<listen_failure> listen();
   /// Serves at the open endpoints.
   void serve();
+  /// Logs an exception that left a handler.
+  void log_exception(std::string_view what);
   /// Logs that an endpoint can't be opened yet, from time to time.
   void log_listen_failure(const listen_failure& failed);
 
--- a/src/fleet/internal/agent_startup.cpp
+++ b/src/fleet/internal/agent_startup.cpp
@@ -1,12 +1,13 @@
 #include "fleet/internal/agent_startup.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <cstdio>
+#include <exception>
 #include <utility>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/fleet/settings.h"
 #include "masticshunt/support/clock.h"
 
@@ -33,7 +34,27 @@
 
 void agent_startup::begin() {
   wait_for_signal();
-  asio::co_spawn(context_, run(), asio::detached);
+  spawn(context_, run());
+}
+
+void agent_startup::run_context() {
+  for (;;) {
+    try {
+      context_.run();
+      return;
+    } catch (const std::exception& error) {
+      log_exception(error.what());
+    } catch (...) {
+      log_exception("an object that is no exception");
+    }
+  }
+}
+
+void agent_startup::log_exception(const char* what) {
+  if (process_)
+    process_->log_exception(what);
+  else
+    std::fprintf(stderr, "masticshunt: a handler failed: %s\n", what);
 }
 
 void agent_startup::wait_for_signal() {
--- a/src/fleet/internal/agent_startup.h
+++ b/src/fleet/internal/agent_startup.h
@@ -34,6 +34,10 @@
   /// Starts to start the agent. A failure stops the context.
   void begin();
 
+  /// Runs the context until it is stopped. An exception that leaves a handler is logged, and the
+  /// other handlers go on.
+  void run_context();
+
   /// Returns true once the agent serves.
   [[nodiscard]] bool serves() const { return serves_; }
   /// Returns why the agent can't be started, or nothing.
@@ -46,6 +50,7 @@
   /// Opens the endpoints, and serves once all are open.
   boost::asio::awaitable<void> listen();
   boost::asio::awaitable<void> pause(duration span);
+  void log_exception(const char* what);
   void fail(startup_failure why);
   void wait_for_signal();
 
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -1,10 +1,9 @@
 #include "fleet/internal/claims_driver.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -196,9 +195,7 @@
 }
 
 void claims_driver::carry_out(const claims::holder_action& action) {
-  const auto start = [this](asio::awaitable<void> work) {
-    asio::co_spawn(executor_, std::move(work), asio::detached);
-  };
+  const auto start = [this](asio::awaitable<void> work) { spawn(executor_, std::move(work)); };
   if (std::holds_alternative<claims::read_lease>(action)) {
     start(call_lease(platform::read_object(platform::kind_leases, settings_.name), false));
   } else if (std::holds_alternative<claims::create_lease>(action)) {
@@ -227,9 +224,7 @@
 }
 
 void claims_driver::carry_out(const std::string& service, const claims::leader_action& action) {
-  const auto start = [this](asio::awaitable<void> work) {
-    asio::co_spawn(executor_, std::move(work), asio::detached);
-  };
+  const auto start = [this](asio::awaitable<void> work) { spawn(executor_, std::move(work)); };
   if (std::holds_alternative<claims::read_map>(action)) {
     start(read_leader_map(service));
   } else if (const auto* write = std::get_if<claims::write_map>(&action)) {
@@ -401,12 +396,9 @@
     if (to.address == settings_.peer_address()) continue;
     auto& bytes = encoded[to.since];
     if (bytes.empty()) bytes = claims::to_cbor_bytes(leaders_.at(service)->changes_since(to.since));
-    asio::co_spawn(
-        executor_,
-        [this, peer = to.address, service, bytes]() -> asio::awaitable<void> {
-          co_await call_peer(peer, "POST", std::string(map_path) + service, bytes, peer_timeout);
-        },
-        asio::detached);
+    spawn(executor_, [this, peer = to.address, service, bytes]() -> asio::awaitable<void> {
+      co_await call_peer(peer, "POST", std::string(map_path) + service, bytes, peer_timeout);
+    });
   }
   co_return;
 }
@@ -416,7 +408,7 @@
   auto& not_before = refresh_after_[service];
   if (now < not_before) return;
   not_before = now + refresh_interval;
-  asio::co_spawn(executor_, refresh(service), asio::detached);
+  spawn(executor_, refresh(service));
 }
 
 asio::awaitable<void> claims_driver::refresh(std::string service) {
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -1,8 +1,6 @@
 #include "fleet/internal/http_client.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -11,6 +9,7 @@
 #include <utility>
 
 #include "fleet/internal/answer_reader.h"
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -230,8 +229,7 @@
   if (body_follows) {
     *sent = false;
     pool.allow_stalls(*connection, request.deadline);
-    asio::co_spawn(connection->socket.get_executor(), send_body(connection, request.body, sent),
-                   asio::detached);
+    spawn(connection->socket.get_executor(), send_body(connection, request.body, sent));
   }
 
   for (int strays = 0;; ++strays) {
@@ -281,8 +279,7 @@
       error_code ignored;
       connection->socket.close(ignored);
     });
-    asio::co_spawn(connection->socket.get_executor(),
-                   pump_answer(pool, connection, answer, reusable, sent), asio::detached);
+    spawn(connection->socket.get_executor(), pump_answer(pool, connection, answer, reusable, sent));
     co_return outcome;
   }
 }
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,6 +16,7 @@
 #include <deque>
 #include <optional>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 #include "masticshunt/support/socket_options.h"
 
@@ -74,9 +73,7 @@
   }
 
   void start() {
-    asio::co_spawn(
-        socket_.get_executor(), [self = shared_from_this()] { return self->read_requests(); },
-        asio::detached);
+    spawn(socket_.get_executor(), [self = shared_from_this()] { return self->read_requests(); });
   }
 
   void sweep(time_point now) {
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -1,8 +1,6 @@
 #include "fleet/internal/ingress.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +8,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 #include "platform/headers.h"
 
@@ -86,7 +85,7 @@
       random_(std::hash<std::string>{}(settings.name)) {}
 
 void ingress::handle(std::shared_ptr<server_request> request) {
-  asio::co_spawn(executor_, serve(std::move(request)), asio::detached);
+  spawn(executor_, serve(std::move(request)));
 }
 
 asio::awaitable<void> ingress::serve(std::shared_ptr<server_request> request) {
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -1,12 +1,11 @@
 #include "fleet/internal/peer_service.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 #include "masticshunt/support/units.h"
 #include "platform/headers.h"
@@ -61,7 +60,7 @@
 void peer_service::handle(std::shared_ptr<server_request> request) {
   auto forwarded = std::make_shared<attempt>();
   if (!read_forwarding_header(request->head, request->arrived, *forwarded)) {
-    asio::co_spawn(executor_, serve_call(std::move(request)), asio::detached);
+    spawn(executor_, serve_call(std::move(request)));
     return;
   }
   forwarded->id = platform::read_request_metadata(request->head).id;
@@ -76,7 +75,7 @@
     };
   observe_version(request->sender + ":" + std::to_string(settings_.peer_port),
                   forwarded->state_version);
-  asio::co_spawn(executor_, serve(std::move(request), std::move(forwarded)), asio::detached);
+  spawn(executor_, serve(std::move(request), std::move(forwarded)));
 }
 
 asio::awaitable<void> peer_service::serve(std::shared_ptr<server_request> request,
@@ -158,7 +157,7 @@
   if (peers.empty()) return;
   const auto index = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(random_);
   if (peers[index]->agent != settings_.name)
-    asio::co_spawn(executor_, gossip_version(peers[index]->address), asio::detached);
+    spawn(executor_, gossip_version(peers[index]->address));
 }
 
 asio::awaitable<void> peer_service::gossip_version(endpoint peer) {
@@ -173,7 +172,7 @@
 
 void peer_service::observe_version(const endpoint& peer, std::uint64_t state_version) {
   if (auto from = version_fetch_.stated(peer, state_version, view_.routes().version()))
-    asio::co_spawn(executor_, fetch_states(std::move(*from)), asio::detached);
+    spawn(executor_, fetch_states(std::move(*from)));
 }
 
 asio::awaitable<void> peer_service::fetch_states(endpoint peer) {
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -1,13 +1,12 @@
 #include "fleet/internal/upstream_registrar.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -91,8 +90,7 @@
     request->respond({.status = status_not_found, .text = "no such call\n"});
     return;
   }
-  asio::co_spawn(executor_, acknowledge(std::move(request), std::move(notification)),
-                 asio::detached);
+  spawn(executor_, acknowledge(std::move(request), std::move(notification)));
 }
 
 asio::awaitable<void> upstream_registrar::acknowledge(std::shared_ptr<server_request> request,
@@ -185,8 +183,7 @@
                         current.slots);
   gate_.set_draining_since(watch_.draining_since());
   if (on_change_) on_change_();
-  if (!publishing_ && published_ != current && watch_.confirmed())
-    asio::co_spawn(executor_, publish(), asio::detached);
+  if (!publishing_ && published_ != current && watch_.confirmed()) spawn(executor_, publish());
 }
 
 void upstream_registrar::tick(time_point now) {
@@ -195,34 +192,30 @@
     unreachable_ = true;
     log_.line(support::line_class::process, "upstream_lost why=\"no connection\"", now);
     apply(now);
-    asio::co_spawn(
-        executor_,
-        [this]() -> asio::awaitable<void> {
-          // Probes one connection at a time until one can be opened.
-          while (unreachable_) {
-            cancellation never_cancelled;
-            auto connection = co_await gate_.pool().acquire(
-                settings_.upstream, boot_now() + std::chrono::milliseconds{400}, never_cancelled);
-            if (connection) {
-              gate_.pool().release(connection);
-              unreachable_ = false;
-              gate_.reset_connect_failures();
-              log_.line(support::line_class::process, "upstream_regained", boot_now());
-              apply(boot_now());
-              co_return;
-            }
-            asio::steady_timer pause(executor_, std::chrono::milliseconds{250});
-            boost::system::error_code ignored;
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-          }
-        },
-        asio::detached);
+    spawn(executor_, [this]() -> asio::awaitable<void> {
+      // Probes one connection at a time until one can be opened.
+      while (unreachable_) {
+        cancellation never_cancelled;
+        auto connection = co_await gate_.pool().acquire(
+            settings_.upstream, boot_now() + std::chrono::milliseconds{400}, never_cancelled);
+        if (connection) {
+          gate_.pool().release(connection);
+          unreachable_ = false;
+          gate_.reset_connect_failures();
+          log_.line(support::line_class::process, "upstream_regained", boot_now());
+          apply(boot_now());
+          co_return;
+        }
+        asio::steady_timer pause(executor_, std::chrono::milliseconds{250});
+        boost::system::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      }
+    });
   }
   if (!watch_.confirmed()) return;
   const auto current = registration(now);
   if (published_ && published_->stage != current.stage) apply(now);
-  if (!publishing_ && published_ != current && now >= next_publish_)
-    asio::co_spawn(executor_, publish(), asio::detached);
+  if (!publishing_ && published_ != current && now >= next_publish_) spawn(executor_, publish());
 }
 
 asio::awaitable<void> upstream_registrar::publish() {
--- a/src/fleet/run.cpp
+++ b/src/fleet/run.cpp
@@ -13,7 +13,7 @@
   agent_startup startup(context, path);
   std::signal(SIGPIPE, SIG_IGN);
   startup.begin();
-  context.run();
+  startup.run_context();
   const auto& failure = startup.failure();
   if (!failure) return 0;
   std::fprintf(stderr, "masticshunt: %s\n", failure->message.c_str());
--- a/tests/fleet/agent_startup_test.cpp
+++ b/tests/fleet/agent_startup_test.cpp
@@ -2,14 +2,18 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <string>
 
 #include "expect.h"
+#include "fleet/internal/spawn.h"
 #include "fleet/loopback.h"
 #include "masticshunt/support/clock.h"
 
@@ -121,3 +125,36 @@
   agent.run_for(seconds{5});
   expect_true(agent.context.stopped() && !agent.startup.failure());
 }
+
+namespace {
+
+asio::awaitable<void> fail() {
+  throw std::runtime_error("a coroutine failed");
+  co_return;
+}
+
+}  // namespace
+
+// An agent ended without a word when a handler threw, and lost what a coroutine threw.
+Test(agent_startup, serves_on_after_an_exception_has_left_a_handler) {
+  starting_agent agent;
+  agent.startup.begin();
+  asio::post(agent.context, [] { throw std::runtime_error("a handler failed"); });
+  spawn(agent.context, fail());
+  asio::steady_timer end(agent.context, seconds{1});
+  end.async_wait([&agent](const auto&) { agent.context.stop(); });
+  agent.startup.run_context();
+  expect_true(agent.startup.serves());
+}
+
+Test(spawn, passes_on_an_exception_that_leaves_a_coroutine) {
+  asio::io_context context;
+  spawn(context, fail());
+  std::string what;
+  try {
+    context.run();
+  } catch (const std::runtime_error& error) {
+    what = error.what();
+  }
+  expect_equal(what, "a coroutine failed");
+}
