Pause between tries to accept while descriptors are used up

Cause: accept_next asked again at once after each error.

Change: the next try comes 50 ms later; accept_failed is logged once a second with the remedy.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -76,6 +76,13 @@
       signals_(context, SIGTERM, SIGINT, SIGHUP),
       state_confirmation_({.bound = settings_.config}),
       random_(incarnation_) {
+  for (auto* server :
+       {&callers_server_, &readiness_server_, &upstream_server_, &peer_server_, &metrics_server_})
+    server->on_accept_failed([this](const std::string& why) {
+      support::event_text line("accept_failed");
+      line.add_quoted("why", why).add_quoted("remedy", "raise the limit of open descriptors");
+      log_event(line.text());
+    });
   add_agent_gauges(metrics_, {view_, gate_, claims_, store_, log_});
   server_limits peer_limits;
   peer_limits.idle_timeout = peer_idle_timeout;
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -30,6 +30,8 @@
 namespace {
 
 constexpr std::size_t read_size = 16 * 1024;
+constexpr duration accept_retry_interval = std::chrono::milliseconds{50};
+constexpr duration accept_report_interval = std::chrono::seconds{1};
 constexpr duration linger_after_close = std::chrono::seconds{1};
 constexpr unsigned bad_request_status = 400;
 constexpr unsigned too_large_status = 413;
@@ -425,7 +427,10 @@
 };
 
 http_server::http_server(const asio::any_io_executor& executor, request_handler handler)
-    : executor_(executor), handler_(std::move(handler)), acceptor_(executor_) {}
+    : executor_(executor),
+      handler_(std::move(handler)),
+      acceptor_(executor_),
+      accept_timer_(executor_) {}
 
 http_server::~http_server() {
   for (const auto& each : std::exchange(sessions_, {})) each->detach();
@@ -456,16 +461,27 @@
 void http_server::accept_next() {
   acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!error) {
-      auto session =
-          std::make_shared<server_session>(*this, std::move(socket), ++connections_accepted_);
-      sessions_.insert(session);
-      session->start();
-    }
+    if (error) return accept_later(error);
+    auto session =
+        std::make_shared<server_session>(*this, std::move(socket), ++connections_accepted_);
+    sessions_.insert(session);
+    session->start();
     accept_next();
   });
 }
 
+void http_server::accept_later(const error_code& why) {
+  const auto now = boot_now();
+  if (on_accept_failed_ && now >= next_accept_report_) {
+    next_accept_report_ = now + accept_report_interval;
+    on_accept_failed_(why.message());
+  }
+  accept_timer_.expires_after(accept_retry_interval);
+  accept_timer_.async_wait([this](const error_code& error) {
+    if (!error && acceptor_.is_open()) accept_next();
+  });
+}
+
 void http_server::stop_accepting() {
   error_code ignored;
   acceptor_.close(ignored);
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <functional>
@@ -113,6 +114,10 @@
   /// Starts to listen at `address`, unless it listens already. Returns the reason of a failure,
   /// after which it can be tried again, or nothing.
   std::optional<listen_failure> listen(const endpoint& address);
+  /// Sets the callback for connections that can't be accepted; it runs once a second at most.
+  void on_accept_failed(std::function<void(const std::string& why)> action) {
+    on_accept_failed_ = std::move(action);
+  }
   /// Closes the listener.
   void stop_accepting();
   /// Closes idle connections at once, and others after their current requests.
@@ -131,11 +136,16 @@
  private:
   friend class server_session;
   void accept_next();
+  /// Accepts again after a pause: as long as descriptors are used up, each try fails at once.
+  void accept_later(const boost::system::error_code& why);
 
   boost::asio::any_io_executor executor_;
   request_handler handler_;
   server_limits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
+  std::function<void(const std::string& why)> on_accept_failed_;
+  time_point next_accept_report_{};
   std::set<std::shared_ptr<server_session>> sessions_;
   std::uint64_t connections_accepted_ = 0;
   std::size_t open_requests_ = 0;
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -400,3 +402,42 @@
   context.run_for(std::chrono::milliseconds{200});
   expect_equal(handled, 0);
 }
+
+namespace {
+
+/// Returns the processor time that a second takes while more callers connect than descriptors are
+/// left to accept them.
+duration processor_time_without_descriptors() {
+  asio::io_context context;
+  http_server server(context.get_executor(), [](std::shared_ptr<server_request>) {});
+  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto address = probe.local_endpoint();
+  probe.close();
+  expect_equal(server.start("127.0.0.1:" + std::to_string(address.port())), "");
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back(context);
+    callers.back().connect(address);
+  }
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = static_cast<rlim_t>(callers.back().native_handle()) + 5;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  const auto used = [] {
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto microseconds = [](const timeval& time) {
+      return std::chrono::seconds{time.tv_sec} + std::chrono::microseconds{time.tv_usec};
+    };
+    return microseconds(usage.ru_utime) + microseconds(usage.ru_stime);
+  };
+  const auto before = used();
+  context.run_for(std::chrono::seconds{1});
+  return used() - before;
+}
+
+}  // namespace
+
+Test(server, hands_back_the_processor_while_descriptors_are_used_up) {
+  expect_true(processor_time_without_descriptors() < std::chrono::milliseconds{200});
+}
