Read documents of the store whole up to 16 MiB

Cause: the client returns an answer once 512 KiB of its body have arrived, for forwarding; whoever needs a document whole took such an answer for none.

Change: a request states how much of its answer is read before it is returned: 16 MiB for documents, 512 KiB for what is forwarded. A watch that brings more is replaced by a listing, which comes in pages.

--- a/src/fleet/internal/answer_reader.cpp
+++ b/src/fleet/internal/answer_reader.cpp
@@ -19,16 +19,17 @@
 
 }  // namespace
 
-answer_reader::answer_reader(connection_ptr connection, bool headers_only)
+answer_reader::answer_reader(connection_ptr connection, bool headers_only, std::size_t body_max)
     : connection_(std::move(connection)) {
   parser_.eager(true);
   parser_.header_limit(part_bytes_max);
   parser_.body_limit(answer_bytes_max);
   parser_.skip(headers_only);
+  parser_.get().body() = std::make_shared<body_pipe>(body_max);
 }
 
 bool answer_reader::ready() const {
-  return done() || (head_done() && body() && body()->ready());
+  return done() || (head_done() && body()->ready());
 }
 
 asio::awaitable<bool> receive_some(client_connection& connection, error_code& error) {
@@ -61,7 +62,7 @@
   while (!done()) {
     const bool received = co_await read_some(error);
     if (!received) co_return false;
-    if (body()) body()->take();
+    body()->take();
   }
   co_return true;
 }
--- a/src/fleet/internal/answer_reader.h
+++ b/src/fleet/internal/answer_reader.h
@@ -22,8 +22,9 @@
   /// Limit of a head, of a chunk line with its extensions, and of the trailers together.
   static constexpr std::uint32_t part_bytes_max = 64 * 1024;
 
-  /// `headers_only`: the answer has no body although its head may announce one.
-  answer_reader(connection_ptr connection, bool headers_only);
+  /// `headers_only`: the answer has no body although its head may announce one. `body_max`: bytes
+  /// of a body that are read before it is ready.
+  answer_reader(connection_ptr connection, bool headers_only, std::size_t body_max);
 
   /// Reads more of the answer. Returns false if the connection ended early or the bytes are no
   /// answer; `error` says which.
@@ -38,7 +39,7 @@
   [[nodiscard]] bool keep_alive() const { return parser_.keep_alive(); }
   [[nodiscard]] unsigned status() const { return parser_.get().result_int(); }
   [[nodiscard]] const answer_head& head() const { return parser_.get().base(); }
-  /// Returns the body; null before the head is done.
+  /// Returns the body; of an answer without one it is never complete.
   [[nodiscard]] const std::shared_ptr<body_pipe>& body() const { return parser_.get().body(); }
 
  private:
--- a/src/fleet/internal/body_pipe.h
+++ b/src/fleet/internal/body_pipe.h
@@ -24,6 +24,10 @@
   /// Bodies up to this size are buffered completely before they are forwarded.
   static constexpr std::size_t buffered_max = 512 * 1024;
 
+  /// Forwarding starts once the body is complete or more than `buffer_max` bytes of it have
+  /// arrived.
+  explicit body_pipe(std::size_t buffer_max = buffered_max) : buffer_max_(buffer_max) {}
+
   /// Adds received bytes.
   void append(std::string_view bytes) {
     buffer_.append(bytes);
@@ -59,11 +63,9 @@
   [[nodiscard]] bool fully_buffered() const { return complete_ && !taken_; }
   /// Returns true once forwarding can start: the body is complete or truncated, or fills the
   /// buffer.
-  [[nodiscard]] bool ready() const {
-    return complete_ || failed_ || taken_ || buffer_.size() >= buffered_max;
-  }
+  [[nodiscard]] bool ready() const { return complete_ || failed_ || taken_ || full(); }
   /// Returns true while the buffer is full and the producer should wait.
-  [[nodiscard]] bool full() const { return buffer_.size() >= buffered_max; }
+  [[nodiscard]] bool full() const { return buffer_.size() >= buffer_max_; }
   /// Returns true if bytes were taken, so that the body can't be sent again.
   [[nodiscard]] bool taken() const { return taken_; }
   [[nodiscard]] std::uint64_t received() const { return received_; }
@@ -77,6 +79,7 @@
   void on_writable(std::function<void()> action) { on_writable_ = std::move(action); }
 
  private:
+  std::size_t buffer_max_;
   std::string buffer_;
   std::uint64_t received_ = 0;
   std::optional<std::uint64_t> length_;
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -233,7 +233,7 @@
   }
 
   for (int strays = 0;; ++strays) {
-    auto answer = std::make_shared<answer_reader>(connection, request.is_head);
+    auto answer = std::make_shared<answer_reader>(connection, request.is_head, request.body_max);
     bool received = true;
     while (received && !answer->head_done()) received = co_await answer->read_some(error);
     const auto belongs =
@@ -256,7 +256,7 @@
     }
     outcome.result = exchange_result::answered;
     outcome.status = answer->status();
-    outcome.body = answer->body() ? answer->body() : std::make_shared<body_pipe>();
+    outcome.body = answer->body();
     if (answer->done() && !outcome.body->complete()) outcome.body->finish();
     outcome.head = answer->head();
     if (request.idle_limit_of != nullptr) {
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -21,6 +21,8 @@
   std::string head;
   std::shared_ptr<body_pipe> body;  ///< Null if the request has no body.
   bool is_head = false;             ///< HEAD request: the answer has no body.
+  /// An answer with a larger body is returned while the rest of it still arrives.
+  std::size_t body_max = body_pipe::buffered_max;
   /// If `id_of` is set, answers with an id other than `id` belong to other requests; the first few
   /// of them are skipped.
   std::string id;
@@ -44,6 +46,10 @@
   std::optional<time_point> send_before;
 };
 
+/// Limit of the bodies of documents, which are read as a whole: a page of the store's listing with
+/// its last object, or what an agent knows, with room for the changes of a watch.
+inline constexpr std::size_t document_bytes_max = 16 * 1024 * 1024;
+
 /// The result of an exchange.
 enum class exchange_result {
   answered,       ///< `head` and `body` hold the answer; the body may still be arriving.
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -187,6 +187,7 @@
   cancellation never_cancelled;
   exchange_request request;
   request.head = "GET " + std::string(state_path) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
+  request.body_max = document_bytes_max;
   request.deadline = boot_now() + fetch_timeout;
   auto exchange = co_await run_exchange(peers_, peer, std::move(request), never_cancelled);
   if (exchange.result != exchange_result::answered || exchange.status != status_ok ||
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -27,6 +27,7 @@
   exchange_request request{.head = call_request.method + ' ' + call_request.target +
                                    " HTTP/1.1\r\nHost: " + address_ +
                                    "\r\nContent-Type: application/json\r\n",
+                           .body_max = document_bytes_max,
                            .deadline = boot_now() + timeout};
   if (!call_request.body.empty()) {
     request.body = std::make_shared<body_pipe>();
@@ -40,6 +41,7 @@
   if (exchange.result == exchange_result::cancelled) co_return answer;
   if (exchange.result != exchange_result::answered || !exchange.body->fully_buffered()) {
     ++counts_.unanswered;
+    answer.too_large = exchange.result == exchange_result::answered;
     // Nothing was sent, so the call has not taken effect.
     if (exchange.result == exchange_result::not_connected)
       answer.verdict = platform::store_verdict::refused;
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -25,6 +25,7 @@
 
 /// The answer of the store. Without an answer `verdict` is unset: the call may have taken effect.
 struct store_answer {
+  bool too_large = false;  ///< The store answered with more than `document_bytes_max`.
   std::optional<platform::store_verdict> verdict;
   std::string body;
   [[nodiscard]] bool done() const { return verdict == platform::store_verdict::done; }
--- a/src/fleet/internal/store_watch.cpp
+++ b/src/fleet/internal/store_watch.cpp
@@ -75,9 +75,10 @@
   waiting_ = nullptr;
   // What a watch that was given up brought may be older than what came since.
   if (cancel.requested()) co_return true;
-  if (answer.verdict == platform::store_verdict::history_gone) {
+  // A listing comes in pages, so it can be read however many changes there were.
+  if (answer.verdict == platform::store_verdict::history_gone || answer.too_large) {
     forget_history();
-    co_return true;
+    co_return !answer.too_large;
   }
   failure reason;
   const auto changes = answer.done() ? platform::decode_changes(answer.body, reason) : std::nullopt;
