Rank agents whose upstream is gone last among the candidates for a leadership

Cause: the three candidates came from all registrations, and those of machines that have left stay.

Change: leader_candidates is a decision of its own: registrations whose upstream is gone last, then agents without keys of the service, then a hash.

--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fleet/internal/spawn.h"
+#include "masticshunt/decisions/claims/leader_candidates.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -98,26 +99,19 @@
                                                 incarnation_, timing_, now);
       if (const auto* map = view_.find_map(name)) leader->map_seen(*map, now);
     }
-    // Agents without keys of the service rank first: if one of them fails, no key loses its owner.
-    std::vector<std::pair<bool, std::string>> order;
-    for (const auto* peer : view_.directory.all())
-      order.emplace_back(peer->service == name, peer->agent);
-    std::ranges::sort(order, {}, [&name](const auto& each) {
-      return std::tuple(each.first, std::hash<std::string>{}(each.second + name), each.second);
-    });
-    const auto position =
-        std::ranges::find(order, settings_.name, &std::pair<bool, std::string>::second);
-    const auto index = static_cast<std::size_t>(position - order.begin());
-    const bool candidate = position != order.end() && index < candidates_max;
+    const auto order = claims::leader_candidates(view_.directory.all(), name, candidates_max);
     if (holder_ && holder_service_ == name) {
       std::vector<endpoint> candidates;
-      for (std::size_t i = 0; i < std::min(order.size(), candidates_max); ++i)
-        if (order[i].second != leader->map().leader)
-          candidates.push_back(view_.directory.find(order[i].second)->address);
+      for (const auto& agent : order)
+        if (agent != leader->map().leader)
+          candidates.push_back(view_.directory.find(agent)->address);
       holder_->set_candidates(std::move(candidates));
     }
+    const auto position = std::ranges::find(order, settings_.name);
+    const bool candidate = position != order.end();
+    const auto rank = static_cast<std::size_t>(position - order.begin());
     is_candidate_[name] = candidate;
-    leader->set_candidate(candidate ? std::optional(index) : std::nullopt);
+    leader->set_candidate(candidate ? std::optional(rank) : std::nullopt);
   }
 }
 
@@ -267,6 +261,7 @@
                                                            duration timeout, std::string headers) {
   exchange_request request{
       .head = method + ' ' + target + " HTTP/1.1\r\nHost: " + to + "\r\n" + headers,
+      .body_max = document_bytes_max,
       .deadline = boot_now() + timeout};
   if (!body.empty()) {
     request.body = std::make_shared<body_pipe>();
