Take an unchanged lease record for no renewal while its deletion may take effect

Cause: the revision was reset with the answer, and again by the owner's next report.

Change: the revision of the deletion is kept apart until the record has another one.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -120,6 +120,8 @@
     bool lease_call_in_flight = false;
     bool deleting = false;  ///< A deletion was sent and may still take effect.
     std::optional<std::uint64_t> lease_revision;
+    /// Revision that a deletion was sent for; a record that still has it was not renewed since.
+    std::optional<std::uint64_t> deletion_revision;
     time_point lease_seen{};
   };
   struct planned_move {
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -328,6 +328,7 @@
     if (!record_lease_ended || !reply_lease_ended) continue;
     owner.lease_call_in_flight = true;
     owner.deleting = true;
+    owner.deletion_revision = owner.lease_revision;
     out.emplace_back(delete_owner_lease{agent, *owner.lease_revision});
   }
 }
@@ -351,6 +352,10 @@
     return;
   }
   if (owner.lease_revision == answer.revision) return;
+  if (owner.deleting && owner.deletion_revision == answer.revision) {
+    owner.lease_revision = answer.revision;
+    return;
+  }
   // Renewed since the deletion was decided: the deletion can no longer take effect.
   owner.deleting = false;
   owner.lease_revision = answer.revision;
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -74,6 +74,27 @@
               duration{});
 }
 
+Test(leader, takes_an_unchanged_lease_record_for_no_renewal_after_an_unanswered_deletion) {
+  leader_fixture fixture;
+  fixture.run_with({"vm-1", "vm-2"}, seconds{6});
+  fixture.run_with({"vm-2"}, fixture.timing.owner_suspicion_timeout + milliseconds{300});
+  const lease_answer unchanged{.answered = true, .registration = 1, .revision = 77};
+  fixture.service_leader.owner_lease_read("vm-1", unchanged, fixture.now);
+  fixture.run_with({"vm-2"}, fixture.timing.record_lease + seconds{1});
+  fixture.service_leader.owner_lease_deleted("vm-1", write_result::no_answer, fixture.now);
+  const auto lease = [&fixture] {
+    return fixture.service_leader.report_received(fixture.report("vm-1"), fixture.now).lease;
+  };
+  expect_true(lease() == duration{});
+  fixture.run_with({"vm-1", "vm-2"}, seconds{1});
+  fixture.service_leader.owner_lease_read("vm-1", unchanged, fixture.now);
+  expect_true(lease() == duration{});
+  fixture.run_with({"vm-1", "vm-2"}, seconds{1});
+  const lease_answer renewed{.answered = true, .registration = 1, .revision = 78};
+  fixture.service_leader.owner_lease_read("vm-1", renewed, fixture.now);
+  expect_true(lease() > duration{});
+}
+
 Test(leader, a_released_range_moves_with_a_higher_fence_and_the_hand_over) {
   leader_fixture fixture;
   fixture.run_with({"vm-1", "vm-2"}, seconds{6});
