--- a/tests/platform_adapter/documents_test.cpp
+++ b/tests/platform_adapter/documents_test.cpp
@@ -219,6 +219,23 @@
   expect_false(decode_heartbeat("i-1", nested(far_too_deep), reason).has_value());
 }
 
+Test(foreign_documents, an_entry_that_is_no_utf8_hides_none_of_the_others) {
+  const std::string good =
+      R"({"metadata":{"name":"vm-2","revision":8},"spec":{"address":"10.0.0.2:7600"}})";
+  const std::string odd_bytes = R"({"metadata":{"name":"vm-1","revision":7},"spec":{"address":")" +
+                                std::string("\xff\xfe") + R"("}})";
+  failure reason;
+  const auto page = decode_page(R"({"at":9,"items":[)" + odd_bytes + "," + good + "]}", reason);
+  expect_true(page.has_value(), reason.describe());
+  expect_equal(page->objects.size(), 1U);
+  expect_equal(page->objects[0].name, "vm-2");
+  expect_equal(page->unreadable.size(), 1U);
+  const auto changes = decode_changes(
+      R"({"at":9,"events":[{"object":)" + odd_bytes + R"(},{"object":)" + good + "}]}", reason);
+  expect_true(changes.has_value(), reason.describe());
+  expect_equal(changes->changes.size(), 1U);
+}
+
 Test(foreign_documents, one_odd_object_hides_none_of_the_others) {
   const std::string good =
       R"({"metadata":{"name":"vm-2","revision":8},"spec":{"address":"10.0.0.2:7600"}})";
