--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -113,6 +113,8 @@
   /// `incarnation` is empty if the upstream is not present; `ready` is false while it drains.
   void update_upstream(std::optional<upstream_incarnation> incarnation, bool ready,
                        std::uint32_t slots, time_point last_heartbeat, time_point now);
+  /// Sets whether the upstream must own no keys because of where it stands, for the next reports.
+  void set_relocating(bool relocating);
   /// The upstream's address refused a connection at `at`: the incarnation that listened there has
   /// ended, and the next one may have the same id. Nothing is granted before its next heartbeat.
   void connection_refused(time_point at);
@@ -224,6 +226,7 @@
   std::optional<time_point> address_failed_at_;  ///< Since then, another incarnation may be there.
   bool upstream_ready_ = false;
   bool restarting_ = false;
+  bool relocating_ = false;
   std::uint32_t slots_ = 1;
   std::vector<key_load> loads_;
   duration service_time_{};
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -113,6 +113,8 @@
   upstream_incarnation upstream;        ///< Empty id: the upstream is not present.
   bool accepting = false;               ///< The upstream is present and not draining.
   bool restarting = false;  ///< The agent is about to restart; its upstream keeps running.
+  /// The upstream may own no keys where it stands: they move away in steps, as it runs on.
+  bool relocating = false;
   std::uint32_t slots = 1;
   duration service_time{};
   std::uint64_t map_revision = 0;
--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -144,6 +144,12 @@
   void assign_free(claim_map& next, time_point now);
   void merge_neighbours(claim_map& next, time_point now) const;
   void plan_drains(time_point now);
+  /// Plans to move keys of owners that relocate: the most loaded first, only so many at a time that
+  /// the other owners take them.
+  void plan_relocations(time_point now);
+  /// Plans to move all of `claimed` to the owners with the least load.
+  void plan_release(const claim& claimed, time_point now);
+  [[nodiscard]] bool moves(const claim& claimed) const;
   void plan_rebalancing(time_point now);
   /// Plans to move narrow ranges with little load to the owner of an adjacent range, so that they
   /// can be merged.
--- a/include/masticshunt/decisions/requests/admission_queue.h
+++ b/include/masticshunt/decisions/requests/admission_queue.h
@@ -2,6 +2,7 @@
 /// A priority queue of requests for the slots of an upstream, with early refusal under overload.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -11,6 +12,7 @@
 
 #include "masticshunt/base/time.h"
 #include "masticshunt/decisions/requests/rate_limit.h"
+#include "masticshunt/decisions/requests/slow_start.h"
 
 namespace masticshunt::requests {
 
@@ -52,7 +54,7 @@
   std::uint64_t refused_deadline = 0;  ///< Could not be answered before the deadline.
   std::uint64_t refused_late = 0;      ///< Would miss the target while the queue is saturated.
   std::uint64_t refused_full = 0;
-  std::uint64_t refused_limited = 0;  ///< Would start too late under the upstream's limit.
+  std::uint64_t refused_limited = 0;  ///< Would start too late under the limit or slow start.
   std::uint64_t started_late = 0;     ///< Invariant violation: started after the deadline.
 };
 
@@ -64,8 +66,9 @@
 /// their target use the remaining capacity. While the upstream is saturated they are refused as
 /// soon as they miss their target, so that the caller receives the refusal early.
 ///
-/// Under a limit that the upstream names, requests start no faster than it allows, and those that
-/// would start too late for that are refused at once, the least urgent first.
+/// Under a limit that the upstream names, and while it is cold, requests start no faster than that
+/// allows, and those that would start too late for that are refused at once, the least urgent
+/// first.
 ///
 /// Usage: call `offer` for each request, `finished` once for each started request, and `tick`
 /// every few ten milliseconds while any request waits. Thread safety: none.
@@ -88,14 +91,24 @@
   void limit_learned(double per_second, time_point now) { limit_.learned(per_second, now); }
   /// Another incarnation of the upstream took over.
   void reset_limit() { limit_.reset(); }
+  /// Returns the slow start of the upstream, for what is learned of its state; call
+  /// `rate_changed` afterwards.
+  [[nodiscard]] slow_start& start_up() { return slow_start_; }
+  [[nodiscard]] const slow_start& start_up() const { return slow_start_; }
+  /// Starts, or refuses, what waits at a rate that has changed.
+  void rate_changed(time_point now, admission_actions& out);
   /// Returns how long after `now` the limit lets the next waiting request start, or nothing if it
   /// is not the limit that they wait for.
   [[nodiscard]] std::optional<duration> limit_wait(time_point now) const;
   /// Returns how long a request that arrives at `now` would wait for the limit alone.
   [[nodiscard]] duration expected_limit_wait(time_point now) const {
-    return limit_.wait(waiting_.size(), now);
+    return rate_wait(waiting_.size(), now);
   }
+  /// Returns the limit that the upstream names, or nothing.
   [[nodiscard]] std::optional<double> limit() const { return limit_.limit(); }
+  /// Returns the requests a second that may start, by the limit and the slow start; nothing if any
+  /// number.
+  [[nodiscard]] std::optional<double> rate(time_point now) const;
   /// Changes the number of slots.
   void set_slots(std::uint32_t slots) { settings_.slots = slots; }
 
@@ -127,12 +140,17 @@
   [[nodiscard]] std::vector<waiting_iterator> waiting_in_order(time_point now);
   void enforce_rank_limit(std::uint32_t rank, admission_actions& out);
   void start_free(time_point now, admission_actions& out);
+  /// Returns how long the limit and the slow start hold up a request with `ahead` before it.
+  [[nodiscard]] duration rate_wait(std::size_t ahead, time_point now) const {
+    return std::max(limit_.wait(ahead, now), slow_start_.wait(ahead, now));
+  }
   [[nodiscard]] duration time_until_room(const admission_request& request) const;
   void refuse(waiting_iterator candidate, std::uint64_t& counter, duration retry_after,
               admission_actions& out);
 
   admission_settings settings_;
   rate_limit limit_;
+  slow_start slow_start_;
   std::list<waiting_request> waiting_;  ///< In order of arrival.
   std::map<admission_id, running_request> running_;
   std::map<kind_key, duration> service_times_;  ///< Moving averages.
--- a/include/masticshunt/decisions/requests/rate_limit.h
+++ b/include/masticshunt/decisions/requests/rate_limit.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "masticshunt/base/time.h"
+#include "masticshunt/decisions/requests/token_bucket.h"
 
 namespace masticshunt::requests {
 
@@ -45,17 +46,13 @@
   [[nodiscard]] std::optional<double> limit() const { return limit_; }
 
  private:
-  /// Returns the rate in requests a second that is kept under the limit in force.
-  [[nodiscard]] double rate() const;
-  [[nodiscard]] double tokens_at(time_point now) const;
   void set_limit(std::optional<double> per_second, time_point now);
 
   rate_limit_settings settings_;
   std::optional<double> limit_;
   bool has_answered_ = false;  ///< The incarnation has answered here.
   time_point named_at_{};
-  double tokens_ = 0;  ///< Requests that might start at `refilled_`; only counted under a limit.
-  time_point refilled_{};
+  std::optional<token_bucket> bucket_;  ///< Empty without a limit.
 };
 
 }  // namespace masticshunt::requests
--- a/include/masticshunt/decisions/routing/desired_state.h
+++ b/include/masticshunt/decisions/routing/desired_state.h
@@ -34,6 +34,8 @@
   std::uint32_t rank = 0;                  ///< 0 is the most urgent.
   std::uint32_t upstreams_max = 1;         ///< Upstreams that may run one request.
   std::vector<weighted_service> services;  ///< Never empty.
+  /// Regions in which requests may be handled; empty: everywhere.
+  std::vector<std::string> regions;
 
   bool operator==(const route&) const = default;
 };
@@ -44,6 +46,8 @@
   std::uint32_t connections_max = 0;    ///< To one upstream, from all agents together.
   bool keyed = false;                   ///< Each key is owned by one upstream.
   std::chrono::milliseconds warm_up{};  ///< How long keys without a hand-over are slow.
+  /// Requests a second that an upstream takes while it is cold, if that is limited.
+  std::optional<double> slow_start_rate;
 
   bool operator==(const service&) const = default;
 };
--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +56,8 @@
   std::optional<double> request_limit;
   duration limit_wait{};  ///< How long a further request would wait for that limit.
   std::optional<upstream_incarnation> leaving;  ///< The incarnation, if it drains or leaves.
+  /// How long work takes on the upstream's VM at present, as a multiple of the usual time.
+  double slowdown = 1;
 };
 
 /// Expected size and cost of a request, for the choice of an upstream.
@@ -62,6 +66,15 @@
   double work_ratio = 1;    ///< Its service time divided by the mean of all requests.
 };
 
+/// A request for which an upstream is to be chosen.
+struct upstream_choice {
+  std::string_view service;
+  std::span<const std::string> tried{};    ///< Agents of earlier attempts.
+  std::span<const std::string> regions{};  ///< That may handle the request; empty: all.
+  request_estimate estimate{};
+  double draw = 0;  ///< Random number in [0, 1) that breaks near ties.
+};
+
 /// How an attempt at an upstream ended, for outlier detection.
 enum class attempt_health {
   good,
@@ -81,6 +94,8 @@
   duration failure_penalty = std::chrono::milliseconds{600};  ///< At a failure share of 1.
   duration failure_half_life = std::chrono::seconds{2};       ///< Upstreams may recover.
   duration load_report_half_life = std::chrono::milliseconds{400};
+  duration slowdown_half_life =
+      std::chrono::milliseconds{150};               ///< It changes several times a second.
   duration limit_memory = std::chrono::seconds{3};  ///< How long a named limit counts.
   duration first_ejection = std::chrono::milliseconds{200};
   duration longest_ejection = std::chrono::seconds{2};
@@ -115,13 +130,17 @@
   /// Returns the number of registrations.
   [[nodiscard]] std::size_t size() const { return members_.size(); }
 
-  /// Returns the agent for a request of `service`, or nothing. Agents in `tried` rank last,
-  /// unreachable ones behind all reachable agents not in `tried`. The random number `draw`, in
-  /// [0, 1), breaks near ties.
-  [[nodiscard]] std::optional<std::string> choose(std::string_view service,
-                                                  const std::vector<std::string>& tried,
-                                                  double draw, time_point now,
-                                                  const request_estimate& request = {}) const;
+  /// Sets the zones whose upstreams get no requests.
+  void set_evacuated_zones(std::set<std::string> zones) { evacuated_zones_ = std::move(zones); }
+  /// Returns true if an upstream is registered in `region`, whatever its stage.
+  [[nodiscard]] bool has_region(std::string_view region) const;
+  /// Returns true if an upstream is registered in `zone`, whatever its stage.
+  [[nodiscard]] bool has_zone(std::string_view zone) const;
+
+  /// Returns the agent for `request`, or nothing. Agents in `request.tried` rank last, unreachable
+  /// ones behind all reachable agents that were not tried.
+  [[nodiscard]] std::optional<std::string> choose(const upstream_choice& request,
+                                                  time_point now) const;
   /// Returns when a report said that the upstream of `agent` leaves, or nothing. A new incarnation
   /// takes that back, a report without it does not: its agent may have restarted.
   [[nodiscard]] std::optional<time_point> leaving_since(std::string_view agent) const;
@@ -151,8 +170,11 @@
     time_point ejected_until{};
     std::optional<time_point> leaving_since;
   };
+  [[nodiscard]] bool is_candidate(const member& upstream, const upstream_choice& request) const;
   [[nodiscard]] double cost(const member& upstream, const request_estimate& request,
                             time_point now) const;
+  /// Returns the slowdown to expect from the last report, which turns into 1 with its age.
+  [[nodiscard]] double slowdown(const member& upstream, time_point now) const;
   [[nodiscard]] double failure_share(const member& upstream, time_point now) const;
   [[nodiscard]] double limit_wait(const member& upstream, time_point now) const;
   member* find_member(std::string_view agent);
@@ -161,6 +183,7 @@
   std::string region_;
   balance_settings settings_;
   std::map<std::string, member, std::less<>> members_;
+  std::set<std::string> evacuated_zones_;
   bool initialized_ = false;  ///< Upstreams of the first registrations do not count as new.
 };
 
--- a/include/masticshunt/fleet/settings.h
+++ b/include/masticshunt/fleet/settings.h
@@ -41,6 +41,9 @@
   std::chrono::milliseconds drain{2'000};
   std::chrono::milliseconds grace{6'000};
   std::chrono::milliseconds config{2'000};  ///< In which a new desired state must be in force.
+  /// In which the upstreams of a failure domain must get no more requests after an operator's
+  /// order; zero: there are no such orders.
+  std::chrono::milliseconds evacuate{0};
   std::chrono::milliseconds hold_max{10'000};
   double repeat_ratio = 0.2;
   std::chrono::milliseconds repeat_window{10'000};
@@ -48,6 +51,8 @@
 
   bool operator==(const fleet_settings&) const = default;
 
+  /// Returns for how long after an order to evacuate its zone an owner still serves its keys.
+  [[nodiscard]] std::chrono::milliseconds evacuation_handover() const { return evacuate / 2; }
   /// Returns the address at which peers reach this agent.
   [[nodiscard]] endpoint peer_address() const { return ip + ":" + std::to_string(peer_port); }
 };
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -43,6 +43,11 @@
   return out;
 }
 
+void claim_holder::set_relocating(bool relocating) {
+  if (relocating != relocating_) report_requested_ = true;
+  relocating_ = relocating;
+}
+
 void claim_holder::update_upstream(std::optional<upstream_incarnation> incarnation, bool ready,
                                    std::uint32_t slots, time_point last_heartbeat, time_point now) {
   last_heartbeat_ = last_heartbeat;
@@ -386,8 +391,9 @@
                       .address = address_,
                       .agent_incarnation = incarnation_,
                       .upstream = upstream_present_ ? *upstream_ : upstream_incarnation{},
-                      .accepting = upstream_present_ && upstream_ready_,
+                      .accepting = upstream_present_ && upstream_ready_ && !relocating_,
                       .restarting = restarting_,
+                      .relocating = relocating_,
                       .slots = slots_,
                       .service_time = service_time_,
                       .map_revision = map_.revision,
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -166,6 +166,7 @@
           {"upstream", pack(report.upstream)},
           {"accepting", report.accepting},
           {"restarting", report.restarting},
+          {"relocating", report.relocating},
           {"slots", report.slots},
           {"service_us",
            std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
@@ -186,6 +187,7 @@
   report.upstream = unpack_incarnation(in.at("upstream"));
   report.accepting = in.at("accepting").get<bool>();
   report.restarting = in.at("restarting").get<bool>();
+  report.relocating = in.value("relocating", false);
   report.slots = in.at("slots").get<std::uint32_t>();
   report.service_time = std::chrono::microseconds{in.at("service_us").get<std::int64_t>()};
   report.map_revision = in.at("map").get<std::uint64_t>();
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -103,6 +103,7 @@
   }
   if (now < next_write_) return;
   plan_drains(now);
+  plan_relocations(now);
   plan_rebalancing(now);
   plan_fragment_moves(now);
   claim_map next = next_map(now);
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -39,6 +39,14 @@
 // Load assumed for all keys together, in slots, before any is measured; measured load adds to it.
 constexpr double assumed_load = 0.5;
 
+/// Returns the load on `keys` that their owner reported, in slots.
+double reported_load(const owner_report& report, const key_range& keys) {
+  double sum = 0;
+  for (const key_load& load : report.loads)
+    if (keys.contains(load.keys)) sum += load.slots;
+  return sum;
+}
+
 double share_of_keys(const key_range& keys) {
   return static_cast<double>(keys.size()) / (static_cast<double>(last_shard_key) + 1);
 }
@@ -162,14 +170,41 @@
     const auto found = owners_.find(claimed.holder.agent);
     if (found == owners_.end() || found->second.report.accepting) continue;
     if (found->second.report.upstream.id.empty() || shares.empty()) continue;
-    const bool draining = std::ranges::any_of(planned_moves_, [&](const planned_move& each) {
-      return each.range.fence == claimed.fence;
-    });
-    if (draining) continue;
-    planned_moves_.push_back({{claimed.keys, claimed.fence, {}}, claimed.holder.agent, {}, now});
-    log_events_.push_back("drain keys=" + std::to_string(claimed.keys.first) + "-" +
-                          std::to_string(claimed.keys.last) + " agent=" + claimed.holder.agent);
+    if (!found->second.report.relocating && !moves(claimed)) plan_release(claimed, now);
+  }
+}
+
+void leader::plan_release(const claim& claimed, time_point now) {
+  planned_moves_.push_back({{claimed.keys, claimed.fence, {}}, claimed.holder.agent, {}, now});
+  log_events_.push_back("drain keys=" + std::to_string(claimed.keys.first) + "-" +
+                        std::to_string(claimed.keys.last) + " agent=" + claimed.holder.agent);
+}
+
+bool leader::moves(const claim& claimed) const {
+  return std::ranges::any_of(
+      planned_moves_, [&](const planned_move& each) { return each.range.fence == claimed.fence; });
+}
+
+void leader::plan_relocations(time_point now) {
+  const auto receivers = static_cast<std::size_t>(std::ranges::count_if(
+      owners_, [&](const auto& owner) { return eligible(owner.first, now); }));
+  if (receivers == 0) return;
+  std::vector<std::pair<double, const claim*>> waiting;
+  std::size_t under_way = 0;
+  for (const claim& claimed : map_.claims) {
+    const auto found = owners_.find(claimed.holder.agent);
+    if (found == owners_.end() || !found->second.report.relocating) continue;
+    if (moves(claimed))
+      ++under_way;
+    else
+      waiting.emplace_back(reported_load(found->second.report, claimed.keys), &claimed);
   }
+  const std::size_t at_once = std::max(moves_at_once, receivers / 2);
+  if (waiting.empty() || under_way >= at_once) return;
+  const auto count = std::min(waiting.size(), at_once - under_way);
+  std::ranges::partial_sort(waiting, waiting.begin() + static_cast<std::ptrdiff_t>(count),
+                            std::ranges::greater{}, &std::pair<double, const claim*>::first);
+  for (std::size_t i = 0; i < count; ++i) plan_release(*waiting[i].second, now);
 }
 
 std::size_t leader::moves_in_progress() const {
--- a/src/decisions/requests/admission_queue.cpp
+++ b/src/decisions/requests/admission_queue.cpp
@@ -85,17 +85,26 @@
     limit_.answered(per_second, now);
     return;
   }
-  observe(now);
   limit_.answered(per_second, now);
+  rate_changed(now, out);
+}
+
+void admission_queue::rate_changed(time_point now, admission_actions& out) {
+  observe(now);
   start_free(now, out);
   refuse_beyond_limit(now, out);
   had_waiting_ = !waiting_.empty();
 }
 
 std::optional<duration> admission_queue::limit_wait(time_point now) const {
-  if (!limit_.limit() || waiting_.empty() || running_.size() >= settings_.slots)
-    return std::nullopt;
-  return limit_.wait(0, now);
+  if (!rate(now) || waiting_.empty() || running_.size() >= settings_.slots) return std::nullopt;
+  return rate_wait(0, now);
+}
+
+std::optional<double> admission_queue::rate(time_point now) const {
+  const auto named = limit_.limit();
+  const auto cold = slow_start_.rate(now);
+  return named && cold ? std::min(named, cold) : named ? named : cold;
 }
 
 duration admission_queue::time_until_room(const admission_request& request) const {
@@ -122,16 +131,16 @@
 }
 
 void admission_queue::refuse_beyond_limit(time_point now, admission_actions& out) {
-  if (!limit_.limit()) return;
+  if (!rate(now)) return;
   std::size_t ahead = 0;
   for (const waiting_iterator each : waiting_in_order(now)) {
-    const auto end = now + limit_.wait(ahead, now) + expected_service(each->request);
+    const auto end = now + rate_wait(ahead, now) + expected_service(each->request);
     const auto latest = saturated() || can_meet_target(*each, now) ? each->request.target_time
                                                                    : each->request.deadline;
     if (end <= latest)
       ++ahead;
     else
-      refuse(each, counts_.refused_limited, limit_.wait(ahead, now), out);
+      refuse(each, counts_.refused_limited, rate_wait(ahead, now), out);
   }
 }
 
@@ -193,10 +202,11 @@
 }
 
 void admission_queue::start_free(time_point now, admission_actions& out) {
-  while (running_.size() < settings_.slots && limit_.available(now)) {
+  while (running_.size() < settings_.slots && rate_wait(0, now) <= duration{}) {
     const auto candidate = next(now);
     if (candidate == waiting_.end()) return;
     limit_.started(now);
+    slow_start_.started(now);
     if (now >= candidate->request.deadline) ++counts_.started_late;
     ++counts_.started;
     const auto rank = candidate->request.rank;
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cmath>
 
+#include "masticshunt/decisions/routing/residency.h"
+
 namespace masticshunt::routing {
 
 namespace {
@@ -112,10 +114,16 @@
   const bool warming = now - upstream.added_at < settings_.warm_up;
   const double work = seconds(service_time) * (rounds_ahead + request.work_ratio);
   return seconds(network_delay) + transfer_time + limit_wait(upstream, now) +
-         work * (warming ? settings_.warm_up_factor : 1) +
+         work * slowdown(upstream, now) * (warming ? settings_.warm_up_factor : 1) +
          failure_share(upstream, now) * seconds(settings_.failure_penalty);
 }
 
+double upstream_directory::slowdown(const member& upstream, time_point now) const {
+  if (upstream.load.slowdown == 1) return 1;
+  const double age = seconds(now - upstream.reported_at) / seconds(settings_.slowdown_half_life);
+  return 1 + (upstream.load.slowdown - 1) * std::exp2(-age);
+}
+
 double upstream_directory::limit_wait(const member& upstream, time_point now) const {
   const duration age = now - upstream.reported_at;
   if (!upstream.load.request_limit || age > settings_.limit_memory) return 0;
@@ -132,27 +140,42 @@
   return found->second.load.request_limit;
 }
 
-std::optional<std::string> upstream_directory::choose(std::string_view service,
-                                                      const std::vector<std::string>& tried,
-                                                      double draw, time_point now,
-                                                      const request_estimate& request) const {
+bool upstream_directory::has_region(std::string_view region) const {
+  return std::ranges::any_of(
+      members_, [region](const auto& each) { return each.second.published.region == region; });
+}
+
+bool upstream_directory::has_zone(std::string_view zone) const {
+  return std::ranges::any_of(
+      members_, [zone](const auto& each) { return each.second.published.zone == zone; });
+}
+
+bool upstream_directory::is_candidate(const member& upstream,
+                                      const upstream_choice& request) const {
+  const registration& published = upstream.published;
+  return published.service == request.service && published.stage == upstream_stage::ready &&
+         !published.incarnation.id.empty() && !upstream.leaving_since &&
+         allows_region(request.regions, published.region) &&
+         !evacuated_zones_.contains(published.zone);
+}
+
+std::optional<std::string> upstream_directory::choose(const upstream_choice& request,
+                                                      time_point now) const {
   std::vector<std::pair<double, const member*>> candidates;
   for (const auto& [name, upstream] : members_) {
-    if (upstream.published.service != service || upstream.published.stage != upstream_stage::ready)
-      continue;
-    if (upstream.published.incarnation.id.empty() || upstream.leaving_since) continue;
-    double total = cost(upstream, request, now);
+    if (!is_candidate(upstream, request)) continue;
+    double total = cost(upstream, request.estimate, now);
     if (now < upstream.ejected_until) total += ejected_penalty_s;
-    if (std::ranges::find(tried, name) != tried.end()) total += tried_penalty_s;
+    if (std::ranges::find(request.tried, name) != request.tried.end()) total += tried_penalty_s;
     candidates.emplace_back(total, &upstream);
   }
   if (candidates.empty()) return std::nullopt;
   std::ranges::sort(candidates, {}, &std::pair<double, const member*>::first);
   const member& cheapest = *candidates.front().second;
-  const double bound = candidates.front().first + tie_share * cost(cheapest, request, now);
+  const double bound = candidates.front().first + tie_share * cost(cheapest, request.estimate, now);
   const auto tied = static_cast<std::size_t>(
       std::ranges::count_if(candidates, [&](const auto& each) { return each.first <= bound; }));
-  return candidates[static_cast<std::size_t>(draw * static_cast<double>(tied))]
+  return candidates[static_cast<std::size_t>(request.draw * static_cast<double>(tied))]
       .second->published.agent;
 }
 
--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -52,6 +52,21 @@
     gauge_definition{
         "masticshunt_refused_limited_total", "Requests refused because of the upstream's limit",
         [](const gauge_sources& sources) { return count(sources.gate.refused_limited()); }},
+    gauge_definition{"masticshunt_upstream_cold", "1 while the upstream counts as cold",
+                     [](const gauge_sources& sources) { return sources.gate.cold() ? 1.0 : 0.0; }},
+    gauge_definition{"masticshunt_evacuated_zones",
+                     "Zones whose upstreams operators want to get no requests",
+                     [](const gauge_sources& sources) {
+                       return count(sources.view.evacuations.zones().size());
+                     }},
+    gauge_definition{"masticshunt_refused_evacuated_total",
+                     "Requests refused because the upstream's zone is evacuated",
+                     [](const gauge_sources& sources) {
+                       return count(sources.gate.counts().refused_evacuated);
+                     }},
+    gauge_definition{
+        "masticshunt_refused_region_total", "Requests refused because of the upstream's region",
+        [](const gauge_sources& sources) { return count(sources.gate.counts().refused_region); }},
     gauge_definition{
         "masticshunt_upstream_connections_opened_total", "Connections opened to the upstream",
         [](const gauge_sources& sources) { return count(sources.gate.connections_opened()); }},
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -9,6 +9,7 @@
 
 #include "fleet/internal/agent_gauges.h"
 #include "fleet/internal/spawn.h"
+#include "masticshunt/decisions/routing/residency.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::fleet {
@@ -54,10 +55,12 @@
       gate_(context.get_executor(),
             {.upstream = settings_.upstream,
              .drain = settings_.drain,
-             .link_bytes_per_second = settings_.link_megabits * bytes_of_megabit},
+             .link_bytes_per_second = settings_.link_megabits * bytes_of_megabit,
+             .evacuation_handover = settings_.evacuation_handover()},
             log_, metrics_),
       claims_(context.get_executor(), settings_, view_, store_, gate_, peer_pool_, log_,
               incarnation_),
+      evacuations_(settings_, view_, store_, log_),
       upstream_(context.get_executor(), settings_, view_, store_, gate_, log_),
       peers_(context.get_executor(), settings_, view_, gate_, claims_, peer_pool_, log_),
       ingress_(context.get_executor(), settings_, view_, gate_, peers_, claims_, log_, metrics_),
@@ -91,6 +94,10 @@
   peer_limits.body_bytes = std::uint64_t{1} << 32U;
   peer_server_.set_limits(peer_limits);
   peers_.on_state([this](const std::string& text) { update_state(text, state_from_peer); });
+  peers_.on_evacuations(
+      [this](const routing::evacuation_set& set) { evacuations_.stated_by_peer(set); });
+  evacuations_.on_change([this] { evacuations_changed(); });
+  gate_.on_region_check([this](const attempt& request) { return region_allows(request); });
   upstream_.on_change([this] { fleet_changed(); });
   upstream_.on_keys([this](auto request, const claims::reported_keys& keys, bool changed) {
     claims_.heartbeat_received(std::move(request), keys, changed, boot_now());
@@ -164,7 +171,7 @@
                                     update_state(change.object.spec, "store");
                                 },
                             .up_to_date =
-                                [this] {
+                                [this](std::uint64_t /*revision*/) {
                                   view_.confirm_state(boot_now());
                                   state_confirmation_.store_answered();
                                 }});
@@ -205,6 +212,7 @@
               }});
   spawn(context_, state_watch_->run());
   spawn(context_, registration_watch_->run());
+  evacuations_.start();
 }
 
 void agent_process::update_state(const std::string& text, std::string_view from) {
@@ -233,6 +241,41 @@
       .add("routes", in_force.routes.size())
       .add("unconfirmed_ms", unconfirmed_for);
   log_event(line.text());
+  log_unknown_regions();
+  fleet_changed();
+}
+
+void agent_process::log_unknown_regions() {
+  if (!view_.directory_loaded) return;
+  const auto unknown = routing::unknown_regions(
+      view_.routes().state(),
+      [this](const std::string& region) { return view_.directory.has_region(region); });
+  for (const auto& each : unknown) {
+    support::event_text line("route_names_unknown_region");
+    line.add("route", each.route)
+        .add("region", each.region)
+        .add_quoted("remedy", "correct the region; no VM is registered there, so it serves nobody");
+    log_event(line.text());
+  }
+}
+
+bool agent_process::region_allows(const attempt& request) const {
+  const auto& routes = view_.routes();
+  if (routes.version() <= request.state_version) return true;
+  const auto* route = routes.match(request.host, request.target);
+  return route == nullptr || routing::allows_region(route->regions, settings_.region);
+}
+
+bool agent_process::upstream_is_misplaced() const {
+  const auto& heartbeat = upstream_.watch().last();
+  const std::string& service = heartbeat ? heartbeat->service : settings_.service;
+  const auto regions = routing::owner_regions(view_.routes().state(), service);
+  return view_.evacuations.evacuated_since(settings_.zone) ||
+         !routing::allows_region(regions, settings_.region);
+}
+
+void agent_process::evacuations_changed() {
+  gate_.set_evacuated_since(view_.evacuations.evacuated_since(settings_.zone));
   fleet_changed();
 }
 
@@ -258,6 +301,9 @@
   claims_.fleet_changed(now);
   const auto& heartbeat = upstream_.watch().last();
   if (heartbeat) {
+    if (const auto* service = view_.routes().find_service(heartbeat->service))
+      gate_.set_slow_start(service->slow_start_rate, service->health_path);
+    claims_.set_relocating(upstream_is_misplaced());
     const bool present = upstream_.watch().confirmed() && upstream_.watch().present(now);
     const bool not_draining = !upstream_.watch().draining_since();
     claims_.update_upstream(present ? std::optional(heartbeat->incarnation) : std::nullopt,
@@ -296,6 +342,7 @@
   gate_.tick(now);
   upstream_.tick(now);
   confirm_state(now);
+  evacuations_.tick(now, std::uniform_real_distribution<double>(0, 1)(random_));
   peers_.tick(now, !store_.reached() || (spread_until_ && now < *spread_until_));
   for (const auto& [name, service] : view_.routes().state().services)
     if (service.keyed && view_.find_map(name) == nullptr) claims_.refresh_map(name);
@@ -388,14 +435,18 @@
     if (map != nullptr) maps[name] = json::parse(claims::to_json_text(*map));
   }
   const auto load = gate_.load();
-  return json{
-      {"agent", settings_.name},
-      {"state_version", view_.routes().version()},
-      {"upstreams", upstreams},
-      {"claims", maps},
-      {"gate", {{"running", load.running}, {"waiting", load.waiting}, {"slots", load.slots}}},
-      {"leader", claims_.leads(now)},
-      {"store_reached", store_.reached()}}
+  return json{{"agent", settings_.name},
+              {"state_version", view_.routes().version()},
+              {"upstreams", upstreams},
+              {"claims", maps},
+              {"evacuated_zones", view_.evacuations.zones()},
+              {"gate",
+               {{"running", load.running},
+                {"waiting", load.waiting},
+                {"slots", load.slots},
+                {"cold", gate_.cold()}}},
+              {"leader", claims_.leads(now)},
+              {"store_reached", store_.reached()}}
       .dump(2);
 }
 
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "fleet/internal/claims_driver.h"
+#include "fleet/internal/evacuation_feed.h"
 #include "fleet/internal/fleet_view.h"
 #include "fleet/internal/gate_service.h"
 #include "fleet/internal/http_client.h"
@@ -61,6 +62,13 @@
   void update_state(const std::string& text, std::string_view from);
   void apply_registration(const platform::stored_object& object);
   void fleet_changed();
+  void evacuations_changed();
+  /// Returns true if the local upstream must own no keys because of where it stands.
+  [[nodiscard]] bool upstream_is_misplaced() const;
+  /// Returns true if the route of `request` in force here allows this region, or if its ingress
+  /// agent has decided by the same version or a newer one.
+  [[nodiscard]] bool region_allows(const attempt& request) const;
+  void log_unknown_regions();
   void housekeeping();
   void confirm_state(time_point now);
   void schedule_claims();
@@ -83,6 +91,7 @@
   store_client store_;
   gate_service gate_;
   claims_driver claims_;
+  evacuation_feed evacuations_;
   upstream_registrar upstream_;
   peer_service peers_;
   ingress ingress_;
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -14,14 +14,16 @@
 
 constexpr std::string_view forwarding_name = "Masticshunt-Hop";
 constexpr std::string_view load_name = "Masticshunt-Load";
+constexpr std::string_view slowdown_name = "Masticshunt-Slowdown";
 constexpr std::string_view refusal_name = "Masticshunt-Refused";
 constexpr std::string_view detail_name = "Masticshunt-Detail";
 constexpr std::string_view version_name = "Masticshunt-State";
 constexpr std::string_view own_prefix = "Masticshunt-";
 constexpr std::string_view absent = "-";
 
-constexpr std::array<std::string_view, 7> refusal_names{
-    "none", "overloaded", "leaving", "no_upstream", "not_owner", "owner_pending", "shed"};
+constexpr std::array<std::string_view, 9> refusal_names{
+    "none",          "overloaded", "leaving",   "no_upstream", "not_owner",
+    "owner_pending", "shed",       "evacuated", "region"};
 constexpr std::array<std::string_view, 5> result_names{"answered", "not_run", "may_have_run",
                                                        "unreachable", "cancelled"};
 
@@ -163,7 +165,7 @@
       << token_or_absent(request.service) << ' ' << token_or_absent(request.caller_service) << ' '
       << (request.key ? std::to_string(*request.key) : std::string(absent)) << ' '
       << request.state_version << ' ' << request.map_revision << ' '
-      << number_or_absent(request.request_limit) << "\r\n";
+      << number_or_absent(request.request_limit) << ' ' << request.evacuations_changed_at << "\r\n";
   return out.str();
 }
 
@@ -181,6 +183,7 @@
       request.map_revision;
   if (!in || remaining < 0) return false;
   request.request_limit = limit_in(in);
+  in >> request.evacuations_changed_at;  // Agents of earlier versions do not send it.
   request.deadline = now + milliseconds{remaining};
   request.target_time = now + milliseconds{target_remaining};
   request.latency_target = milliseconds{target};
@@ -207,12 +210,14 @@
       << std::chrono::duration_cast<std::chrono::microseconds>(load.limit_wait).count();
   if (load.leaving) out << ' ' << load.leaving->start_ms << ' ' << load.leaving->id;
   out << "\r\n";
+  if (load.slowdown != 1) out << slowdown_name << ": " << load.slowdown << "\r\n";
   return out.str();
 }
 
-std::string state_version_header(std::uint64_t state_version) {
+std::string state_version_header(std::uint64_t state_version,
+                                 std::uint64_t evacuations_changed_at) {
   std::ostringstream out;
-  out << version_name << ": " << state_version << "\r\n";
+  out << version_name << ": " << state_version << ' ' << evacuations_changed_at << "\r\n";
   return out.str();
 }
 
@@ -244,10 +249,12 @@
     if (load >> limit_wait_us) report.limit_wait = std::chrono::microseconds{limit_wait_us};
     routing::upstream_incarnation leaving;
     if (load >> leaving.start_ms >> leaving.id) report.leaving = std::move(leaving);
+    double slowdown = 1;
+    if (tokens_of(from, slowdown_name) >> slowdown && slowdown > 0) report.slowdown = slowdown;
     answer.load = report;
   }
   auto versions = tokens_of(from, version_name);
-  versions >> answer.state_version;
+  versions >> answer.state_version >> answer.evacuations_changed_at;
   auto refusal_tokens = tokens_of(from, refusal_name);
   std::string result;
   std::string why;
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -22,6 +22,7 @@
 struct attempt {
   std::string id;
   std::string method;
+  std::string host;
   std::string target;
   std::string headers;                  ///< Header lines of the caller that are forwarded.
   std::shared_ptr<body_pipe> body;      ///< Null if the request has no body.
@@ -35,8 +36,9 @@
   duration latency_target{};  ///< Latency up to which an answer has its full value.
   time_point target_time;     ///< Arrival plus target, less the time of earlier attempts.
   time_point deadline;
-  std::uint64_t state_version = 0;  ///< Version of the ingress agent's desired state.
-  std::uint64_t map_revision = 0;   ///< Revision of the ingress agent's claim map.
+  std::uint64_t state_version = 0;           ///< Version of the ingress agent's desired state.
+  std::uint64_t map_revision = 0;            ///< Revision of the ingress agent's claim map.
+  std::uint64_t evacuations_changed_at = 0;  ///< Of the evacuated zones that its agent knows.
   /// Requests a second that the upstream takes as far as the ingress agent was told, if limited.
   std::optional<double> request_limit;
   cancellation* cancel = nullptr;  ///< Not null while the request is served.
@@ -59,7 +61,9 @@
   no_upstream,    ///< The agent has no available upstream of the service.
   not_owner,      ///< Another agent owns the key.
   owner_pending,  ///< The key has no reachable owner, or is being granted or moved.
-  shed            ///< The upstream refused the request without running it.
+  shed,           ///< The upstream refused the request without running it.
+  evacuated,      ///< Operators have ordered the upstream's zone to be evacuated.
+  region          ///< The request may not be handled in the region.
 };
 std::string_view to_string(refusal why);
 refusal refusal_from(std::string_view name);
@@ -109,13 +113,14 @@
 bool read_forwarding_header(const fields& from, time_point now, attempt& request);
 std::string load_header(const routing::load_report& load);
 std::string refusal_header(const attempt_outcome& outcome);
-std::string state_version_header(std::uint64_t state_version);
+std::string state_version_header(std::uint64_t state_version, std::uint64_t evacuations_changed_at);
 /// The agent's own headers in the answer of a peer.
 struct peer_answer_headers {
   std::optional<routing::load_report> load;
   /// Set if the peer refused the request or lost its answer.
   std::optional<attempt_outcome> refused;
   std::uint64_t state_version = 0;
+  std::uint64_t evacuations_changed_at = 0;
 };
 peer_answer_headers read_peer_answer_headers(const fields& from);
 /// @}
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -125,12 +125,18 @@
     holder_ =
         std::make_unique<claims::claim_holder>(service, settings_.name, settings_.peer_address(),
                                                incarnation_, timing_, now, settings_.grants);
+    holder_->set_relocating(relocating_);
     gate_.set_holder(holder_.get());
     if (const auto* map = view_.find_map(service)) holder_->map_seen(*map, now);
   }
   if (holder_) holder_->update_upstream(incarnation, not_draining, slots, last_heartbeat_at, now);
 }
 
+void claims_driver::set_relocating(bool relocating) {
+  relocating_ = relocating;
+  if (holder_) holder_->set_relocating(relocating);
+}
+
 void claims_driver::heartbeat_received(std::shared_ptr<server_request> request,
                                        const claims::reported_keys& keys, bool at_once,
                                        time_point now) {
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -40,6 +40,8 @@
   void update_upstream(const std::optional<routing::upstream_incarnation>& incarnation,
                        const std::string& service, bool not_draining, std::uint32_t slots,
                        time_point last_heartbeat_at, time_point now);
+  /// Sets whether the local upstream must own no keys because of where it stands.
+  void set_relocating(bool relocating);
   /// Answers a heartbeat that reported `keys`, at once or later. `at_once`: it must not wait for
   /// keys to be granted or released.
   void heartbeat_received(std::shared_ptr<server_request> request,
@@ -95,6 +97,7 @@
   key_calls key_calls_;
   std::unique_ptr<claims::claim_holder> holder_;
   std::string holder_service_;
+  bool relocating_ = false;
   heartbeat_responder heartbeats_;
   std::map<std::string, std::unique_ptr<claims::leader>> leaders_;
   std::map<std::string, bool> is_candidate_;
@@ -110,6 +113,9 @@
 inline constexpr std::string_view map_known_header = "Masticshunt-Map-Known";
 inline constexpr std::string_view state_path = "/masticshunt/state";
 inline constexpr std::string_view version_gossip_path = "/masticshunt/greeting/";
+inline constexpr std::string_view evacuations_path = "/masticshunt/evacuations";
+/// Header of a gossip message: the revision at which the evacuated zones last changed.
+inline constexpr std::string_view evacuations_known_header = "Masticshunt-Evacuations";
 /// @}
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/fleet_view.h
+++ b/src/fleet/internal/fleet_view.h
@@ -11,6 +11,7 @@
 #include "masticshunt/decisions/claims/claim_map.h"
 #include "masticshunt/decisions/routing/desired_state.h"
 #include "masticshunt/decisions/routing/upstream_directory.h"
+#include "masticshunt/decisions/routing/zone_evacuations.h"
 #include "masticshunt/fleet/settings.h"
 
 namespace masticshunt::fleet {
@@ -30,6 +31,7 @@
       : directory(settings.zone, settings.region), self_(settings.name) {}
 
   routing::upstream_directory directory;
+  routing::zone_evacuations evacuations;
   bool directory_loaded = false;
 
   /// Applies a desired state if it is newer. `text` is its stored form, which peers can fetch.
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 
+#include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
 #include "platform/headers.h"
 
@@ -24,6 +25,9 @@
 constexpr double service_time_weight = 0.05;
 constexpr duration idle_limit_default = std::chrono::seconds{4};
 constexpr duration idle_limit_margin = std::chrono::milliseconds{1'500};
+/// An older statement about the present speed says nothing to others.
+constexpr duration slowdown_lifetime = std::chrono::milliseconds{300};
+constexpr std::chrono::milliseconds evacuated_retry_after{300};
 constexpr unsigned first_failure_status = 300;
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_misdirected = 421;
@@ -75,6 +79,7 @@
 
 void gate_service::tick(time_point now) {
   pool_.sweep(now);
+  if (probe_is_due(now)) spawn(executor_, probe_cold());
   if (queue_.waiting() == 0) return;
   requests::admission_actions actions;
   queue_.tick(now, actions);
@@ -82,17 +87,19 @@
 }
 
 routing::load_report gate_service::load() const {
+  const auto now = boot_now();
   return {.running = static_cast<std::uint32_t>(queue_.running()),
           .waiting = static_cast<std::uint32_t>(queue_.waiting()),
           .slots = slots_,
           .service_time = service_time_,
-          .request_limit = queue_.limit(),
-          .limit_wait = queue_.expected_limit_wait(boot_now()),
-          .leaving = draining_since_ ? incarnation_ : std::nullopt};
+          .request_limit = queue_.rate(now),
+          .limit_wait = queue_.expected_limit_wait(now),
+          .leaving = draining_since_ ? incarnation_ : std::nullopt,
+          .slowdown = now - slowdown_at_ < slowdown_lifetime ? slowdown_ : 1};
 }
 
 std::uint32_t gate_service::usable_slots() const {
-  const auto limit = queue_.limit();
+  const auto limit = queue_.rate(boot_now());
   if (!limit || service_time_ == duration{}) return slots_;
   const double busy = *limit * std::chrono::duration<double>(service_time_).count();
   return std::clamp(static_cast<std::uint32_t>(std::lround(std::min<double>(busy, slots_))), 1U,
@@ -118,6 +125,11 @@
   if (!incarnation_ || request.service != service_) return refused(refusal::no_upstream);
   const bool draining = draining_since_ && now >= *draining_since_ + settings_.drain / 2;
   if (stopping_ || draining) return refused(refusal::leaving);
+  const bool moves_on = request.key && holder_ != nullptr;
+  const auto closes_after = moves_on ? settings_.evacuation_handover : duration{};
+  if (evacuated_since_ && now >= *evacuated_since_ + closes_after)
+    return refused(refusal::evacuated, evacuated_retry_after);
+  if (region_allowed_ && !region_allowed_(request)) return refused(refusal::region);
   return std::nullopt;
 }
 
@@ -145,6 +157,8 @@
   }
   if (refusal_outcome) {
     ++counts_.refused;
+    if (refusal_outcome->why == refusal::evacuated) ++counts_.refused_evacuated;
+    if (refusal_outcome->why == refusal::region) ++counts_.refused_region;
     co_return std::move(*refusal_outcome);
   }
   const auto id = next_id_++;
@@ -352,7 +366,14 @@
       .deadline = request->deadline + answer_grace};
   auto exchange =
       co_await run_exchange(pool_, settings_.upstream, std::move(http_request), *request->cancel);
-  connect_failures_ = exchange.result == exchange_result::not_connected ? connect_failures_ + 1 : 0;
+  const bool not_connected = exchange.result == exchange_result::not_connected;
+  connect_failures_ = not_connected ? connect_failures_ + 1 : 0;
+  if (not_connected) {
+    // It may start again, under the same id, before its next heartbeat.
+    const bool cold_before = cold();
+    queue_.start_up().state_unknown(boot_now());
+    slow_start_changed(cold_before);
+  }
   co_return classify(*request, std::move(exchange), incarnation);
 }
 
@@ -414,6 +435,10 @@
   // An answer may come after another incarnation has taken over.
   if (answer.wrong_incarnation || incarnation != last_incarnation_) return;
   note_limit(answer);
+  if (answer.load) {
+    slowdown_ = answer.load->slowdown;
+    slowdown_at_ = boot_now();
+  }
   if (answer.leaving && on_leaving_) on_leaving_(incarnation);
 }
 
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -29,6 +29,8 @@
   /// How long requests may be sent after draining starts.
   duration drain = std::chrono::seconds{2};
   double link_bytes_per_second = 125e6;  ///< Link bandwidth of this VM, each way.
+  /// How long keys may be served after the zone's evacuation was learned: they move meanwhile.
+  duration evacuation_handover{};
 };
 
 /// Counters of a gate.
@@ -38,6 +40,8 @@
   std::uint64_t refused = 0;
   std::uint64_t lost = 0;              ///< Sent to the upstream without a complete answer.
   std::uint64_t sent_after_drain = 0;  ///< Violation: sent after the drain time.
+  std::uint64_t refused_evacuated = 0;
+  std::uint64_t refused_region = 0;
 };
 
 /// Admits requests to the local upstream in the order of their ranks, and only while the upstream
@@ -65,6 +69,17 @@
   }
   /// Sets how long requests may be sent after draining starts.
   void set_drain(duration drain) { settings_.drain = drain; }
+  /// Sets when this agent learned that its zone is evacuated, or nothing if it is not. The upstream
+  /// may be cold when it gets requests again.
+  void set_evacuated_since(std::optional<time_point> when);
+  /// Sets the check whether a request may be handled in this agent's region.
+  void on_region_check(std::function<bool(const attempt&)> allowed) {
+    region_allowed_ = std::move(allowed);
+  }
+  /// Sets the requests a second that a cold upstream takes, if limited, and its health path.
+  void set_slow_start(std::optional<double> rate, const std::string& health_path);
+  /// A heartbeat of the upstream said for how long it stays cold.
+  void heartbeat_said_cold(duration cold_for);
   /// From now on refuses new requests and those that have not started.
   void stop() { stopping_ = true; }
   /// Sets the claim holder; null if the service is not sharded by key.
@@ -90,6 +105,8 @@
   /// Returns the requests a second that the upstream said it takes, or nothing if it names no
   /// limit.
   [[nodiscard]] std::optional<double> request_limit() const { return queue_.limit(); }
+  /// Returns true while the upstream counts as cold.
+  [[nodiscard]] bool cold() const;
   /// Returns the number of requests refused because of that limit.
   [[nodiscard]] std::uint64_t refused_limited() const { return queue_.counts().refused_limited; }
   /// Returns the number of requests started after their deadline. A value above zero is a
@@ -141,6 +158,11 @@
   [[nodiscard]] std::optional<attempt_outcome> refusal_if_closed(const attempt& request,
                                                                  time_point now) const;
   void carry_out(const requests::admission_actions& actions);
+  /// Starts or refuses what waits after the upstream turned cold or warm, and logs that.
+  void slow_start_changed(bool cold_before);
+  [[nodiscard]] bool probe_is_due(time_point now) const;
+  /// Asks the upstream's health path whether it is cold.
+  boost::asio::awaitable<void> probe_cold();
   /// Continues when the upstream's limit lets the next waiting request start.
   void await_limit();
   void update_service_time(duration run_time);
@@ -165,6 +187,13 @@
   std::optional<routing::upstream_incarnation> incarnation_;
   std::string service_;
   std::optional<time_point> draining_since_;
+  std::optional<time_point> evacuated_since_;
+  std::function<bool(const attempt&)> region_allowed_;
+  std::string health_path_;
+  bool probing_ = false;
+  time_point next_probe_{};
+  double slowdown_ = 1;  ///< In the upstream's last answer.
+  time_point slowdown_at_{};
   bool stopping_ = false;
   claims::claim_holder* holder_ = nullptr;
   key_meter meter_;
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "fleet/internal/spawn.h"
+#include "masticshunt/decisions/routing/residency.h"
 #include "masticshunt/support/clock.h"
 #include "platform/headers.h"
 
@@ -27,6 +28,8 @@
 constexpr int attempts_max = 16;
 constexpr std::size_t trail_bytes_max = 400;
 constexpr milliseconds retry_after_min{60};
+/// For a request that none of the regions of its route can serve at present.
+constexpr milliseconds region_retry_after{500};
 /// Largest Retry-After as a share of the remaining time; callers accept at most a third.
 constexpr double retry_after_share = 0.3;
 constexpr unsigned status_not_found = 404;
@@ -48,6 +51,7 @@
   std::string route;
   std::string service;
   std::uint32_t upstreams_max = 1;
+  std::vector<std::string> regions;  ///< That may handle the request; empty: all.
   bool idempotent = false;
   bool keyed = false;
   time_point deadline;
@@ -97,8 +101,8 @@
     co_return;
   }
   const std::string target = text_of(request->head.target());
-  const auto* route =
-      view_.routes().match(text_of(request->head[boost::beast::http::field::host]), target);
+  const std::string host = text_of(request->head[boost::beast::http::field::host]);
+  const auto* route = view_.routes().match(host, target);
   if (route == nullptr) {
     request->respond({.status = status_not_found,
                       .headers = platform::request_id_header(state.metadata.id),
@@ -110,6 +114,7 @@
   state.route = route->name;
   state.service = routing::service_for(route->services, hash);
   state.upstreams_max = std::max(1U, route->upstreams_max);
+  state.regions = route->regions;
   state.idempotent = route->retries == routing::retry_rule::idempotent;
   const auto* service = view_.routes().find_service(state.service);
   state.keyed = service != nullptr && service->keyed && state.metadata.key;
@@ -127,6 +132,7 @@
   attempt& outgoing = *state.outgoing;
   outgoing.id = state.metadata.id;
   outgoing.method = text_of(request->head.method_string());
+  outgoing.host = host;
   outgoing.target = target;
   outgoing.headers = headers_for_upstream(request->head);
   outgoing.body = body_of(*request);
@@ -168,7 +174,11 @@
     if (state.deadline - boot_now() < attempt_time_min) break;
     const auto agent = choose(state);
     if (!agent) {
-      if (state.keyed && co_await await_owner(state)) continue;
+      // A key whose owner stands in another region moves for seconds, if at all.
+      const bool owner_may_come = state.keyed && state.last_refusal != refusal::region;
+      if (owner_may_come && co_await await_owner(state)) continue;
+      if (!state.regions.empty())
+        state.retry_after = std::max(state.retry_after, region_retry_after);
       break;
     }
     state.agent = *agent;
@@ -234,8 +244,12 @@
   if (!state.keyed) {
     const double random_draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const auto bytes = state.outgoing->body ? state.outgoing->body->length().value_or(0) : 0;
-    return view_.directory.choose(state.service, state.tried, random_draw, now,
-                                  profiles_[state.route].estimate(bytes));
+    return view_.directory.choose({.service = state.service,
+                                   .tried = state.tried,
+                                   .regions = state.regions,
+                                   .estimate = profiles_[state.route].estimate(bytes),
+                                   .draw = random_draw},
+                                  now);
   }
   const auto owner = view_.owner_of(state.service, *state.metadata.key);
   state.owner = state.service + '/' + (owner ? owner->agent : std::string{});
@@ -245,19 +259,33 @@
     state.last_refusal = refusal::owner_pending;
     return std::nullopt;
   }
-  const auto leaving_since = view_.directory.leaving_since(owner->agent);
-  const bool has_left = leaving_since && now >= *leaving_since + settings_.drain / 2;
-  if (has_left || !view_.directory.reachable(owner->agent, now) ||
-      view_.directory.find(owner->agent) == nullptr) {
+  if (!owner_takes_requests(owner->agent, now)) {
     owner_outages_.report_unavailable(state.owner, now);
     claims_.refresh_map(state.service);
     state.last_refusal = refusal::owner_pending;
     return std::nullopt;
   }
+  if (!routing::allows_region(state.regions, view_.directory.find(owner->agent)->region)) {
+    // The key moves to another region, or its service has routes that exclude one another.
+    claims_.refresh_map(state.service);
+    state.last_refusal = refusal::region;
+    return std::nullopt;
+  }
   state.outgoing->map_revision = owner->map_revision;
   return owner->agent;
 }
 
+bool ingress::owner_takes_requests(const std::string& agent, time_point now) const {
+  const auto* owner = view_.directory.find(agent);
+  if (owner == nullptr || !view_.directory.reachable(agent, now)) return false;
+  const auto leaving_since = view_.directory.leaving_since(agent);
+  const auto evacuated_since = view_.evacuations.evacuated_since(owner->zone);
+  const bool has_left = leaving_since && now >= *leaving_since + settings_.drain / 2;
+  const bool is_evacuated =
+      evacuated_since && now >= *evacuated_since + settings_.evacuation_handover();
+  return !has_left && !is_evacuated;
+}
+
 asio::awaitable<bool> ingress::await_owner(request_state& state) {
   const auto total = state.deadline - state.request->arrived;
   const auto now = boot_now();
@@ -274,6 +302,7 @@
 asio::awaitable<attempt_outcome> ingress::run_attempt(request_state& state,
                                                       const std::string& agent) {
   state.outgoing->state_version = view_.routes().version();
+  state.outgoing->evacuations_changed_at = view_.evacuations.set().changed_at;
   state.outgoing->retry = state.reached > 0;
   state.outgoing->request_limit = view_.directory.request_limit(agent, boot_now());
   if (agent == settings_.name) {
@@ -334,6 +363,8 @@
     case refusal::owner_pending:
     case refusal::leaving:
     case refusal::no_upstream:
+    case refusal::evacuated:
+    case refusal::region:
       state.tried.push_back(agent);
       return state.reached == 0 || may_retry(state) ? next_step::retry : next_step::refuse;
     case refusal::overloaded:
--- a/src/fleet/internal/ingress.h
+++ b/src/fleet/internal/ingress.h
@@ -54,6 +54,8 @@
                                                       const std::string& agent);
   boost::asio::awaitable<bool> await_owner(request_state& state);
   [[nodiscard]] std::optional<std::string> choose(request_state& state);
+  /// Returns false if the owner `agent` can't be reached, has left or is evacuated.
+  [[nodiscard]] bool owner_takes_requests(const std::string& agent, time_point now) const;
   void report_owner_availability(const request_state& state, const attempt_outcome& outcome);
   static void append_trail(request_state& state, const attempt_outcome& outcome);
   next_step classify(request_state& state, const std::string& agent,
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -35,10 +35,9 @@
   return {text.data(), text.size()};
 }
 
-/// Returns the revision of the map that the sender of a request for a map knows; zero if none.
-std::uint64_t known_map(const request_head& head) {
-  const auto found =
-      head.find(boost::beast::string_view(map_known_header.data(), map_known_header.size()));
+/// Returns the number in the header field `name`; zero if there is none.
+std::uint64_t count_in(const request_head& head, std::string_view name) {
+  const auto found = head.find(boost::beast::string_view(name.data(), name.size()));
   if (found == head.end()) return 0;
   return support::count_from(text_of(found->value())).value_or(0);
 }
@@ -65,6 +64,7 @@
   }
   forwarded->id = platform::read_request_metadata(request->head).id;
   forwarded->method = text_of(request->head.method_string());
+  forwarded->host = text_of(request->head[boost::beast::http::field::host]);
   forwarded->target = text_of(request->head.target());
   forwarded->headers = headers_for_upstream(request->head);
   forwarded->cancel = &request->cancel;
@@ -73,8 +73,9 @@
     forwarded->send_continue = [weak = std::weak_ptr(request)] {
       if (const auto alive = weak.lock()) alive->send_continue();
     };
-  observe_version(request->sender + ":" + std::to_string(settings_.peer_port),
-                  forwarded->state_version);
+  const endpoint peer = request->sender + ":" + std::to_string(settings_.peer_port);
+  observe_version(peer, forwarded->state_version);
+  observe_evacuations(peer, forwarded->evacuations_changed_at);
   spawn(executor_, serve(std::move(request), std::move(forwarded)));
 }
 
@@ -88,7 +89,7 @@
   auto load = gate_.load();
   load.ran_for = outcome.ran_for;
   std::string headers = load_header(load);
-  headers += state_version_header(view_.routes().version());
+  headers += state_version_header(view_.routes().version(), view_.evacuations.set().changed_at);
   if (outcome.result == attempt_result::answered) {
     request->respond(
         {.status = outcome.status, .headers = headers + outcome.headers, .body = outcome.body});
@@ -118,8 +119,11 @@
     const auto version =
         support::count_from(std::string_view(target).substr(version_gossip_path.size()));
     request->respond({});
-    if (version)
-      observe_version(request->sender + ":" + std::to_string(settings_.peer_port), *version);
+    const endpoint peer = request->sender + ":" + std::to_string(settings_.peer_port);
+    if (version) observe_version(peer, *version);
+    observe_evacuations(peer, count_in(request->head, evacuations_known_header));
+  } else if (target == evacuations_path) {
+    request->respond({.text = platform::encode_evacuations(view_.evacuations.set())});
   } else if (target == state_path) {
     request->respond({.text = state_document()});
   } else if (target.starts_with(map_path)) {
@@ -128,7 +132,8 @@
       if (const auto update = claims::update_from_cbor_bytes(body, reason))
         claims_.update_seen(*update, boot_now());
       request->respond({});
-    } else if (const auto update = claims_.changes_since(service, known_map(request->head))) {
+    } else if (const auto update =
+                   claims_.changes_since(service, count_in(request->head, map_known_header))) {
       request->respond({.text = claims::to_cbor_bytes(*update)});
     } else {
       request->respond({.status = status_not_found});
@@ -146,7 +151,10 @@
   for (const auto& [name, service] : view_.routes().state().services)
     if (const auto* map = view_.find_map(name)) maps.push_back(claims::to_json_text(*map));
   return nlohmann::json{
-      {"state", view_.state_text()}, {"registrations", registrations}, {"claims", std::move(maps)}}
+      {"state", view_.state_text()},
+      {"registrations", registrations},
+      {"claims", std::move(maps)},
+      {"evacuations", nlohmann::json::parse(platform::encode_evacuations(view_.evacuations.set()))}}
       .dump();
 }
 
@@ -165,6 +173,9 @@
   exchange_request request;
   request.head = "GET " + std::string(version_gossip_path) +
                  std::to_string(view_.routes().version()) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
+  if (const auto changed_at = view_.evacuations.set().changed_at; changed_at > 0)
+    request.head.append(evacuations_known_header).append(": ") +=
+        std::to_string(changed_at) + "\r\n";
   request.deadline = boot_now() + fetch_timeout;
   // The result does not matter: a random peer is chosen again after the next interval.
   co_await run_exchange(peers_, peer, std::move(request), never_cancelled);
@@ -183,23 +194,53 @@
   }
 }
 
-asio::awaitable<void> peer_service::fetch_state(endpoint peer) {
+void peer_service::observe_evacuations(const endpoint& peer, std::uint64_t changed_at) {
+  if (auto from = evacuations_fetch_.stated(peer, changed_at, view_.evacuations.known_up_to()))
+    spawn(executor_, fetch_evacuations(std::move(*from)));
+}
+
+asio::awaitable<void> peer_service::fetch_evacuations(endpoint peer) {
+  std::optional<endpoint> next = std::move(peer);
+  while (next) {
+    failure reason;
+    const auto document = co_await fetch_document(std::move(*next), evacuations_path);
+    const auto set = document ? platform::decode_evacuations(*document, reason) : std::nullopt;
+    if (set && on_evacuations_) on_evacuations_(*set);
+    next = evacuations_fetch_.ended(view_.evacuations.known_up_to());
+  }
+}
+
+asio::awaitable<std::optional<std::string>> peer_service::fetch_document(endpoint peer,
+                                                                         std::string_view path) {
   cancellation never_cancelled;
   exchange_request request;
-  request.head = "GET " + std::string(state_path) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
+  request.head = "GET " + std::string(path) + " HTTP/1.1\r\nHost: " + peer + "\r\n";
   request.body_max = document_bytes_max;
   request.deadline = boot_now() + fetch_timeout;
   auto exchange = co_await run_exchange(peers_, peer, std::move(request), never_cancelled);
-  if (exchange.result != exchange_result::answered || exchange.status != status_ok ||
-      !exchange.body->fully_buffered()) {
-    support::event_text line("peer_state_missing");
-    line.add("peer", peer).add("status", exchange.status).add_quoted("why", exchange.detail);
-    log_.line(support::line_class::process, line.text(), boot_now());
-    co_return;
-  }
+  if (exchange.result == exchange_result::answered && exchange.status == status_ok &&
+      exchange.body->fully_buffered())
+    co_return exchange.body->buffered();
+  support::event_text line("peer_state_missing");
+  line.add("peer", peer)
+      .add("path", path)
+      .add("status", exchange.status)
+      .add_quoted("why", exchange.detail);
+  log_.line(support::line_class::process, line.text(), boot_now());
+  co_return std::nullopt;
+}
+
+asio::awaitable<void> peer_service::fetch_state(endpoint peer) {
+  const auto document_text = co_await fetch_document(peer, state_path);
+  if (!document_text) co_return;
   try {
-    const auto document = nlohmann::json::parse(exchange.body->buffered());
+    const auto document = nlohmann::json::parse(*document_text);
     if (on_state_) on_state_(document.at("state").get<std::string>());
+    failure unreadable;
+    if (const auto found = document.find("evacuations"); found != document.end())
+      if (const auto set = platform::decode_evacuations(found->dump(), unreadable);
+          set && on_evacuations_)
+        on_evacuations_(*set);
     if (view_.directory_loaded) co_return;
     for (const auto& [agent, spec] : document.at("registrations").items()) {
       failure reason;
@@ -259,6 +300,7 @@
       auto peer_headers = read_peer_answer_headers(exchange.head);
       outcome.load = peer_headers.load;
       observe_version(to, peer_headers.state_version);
+      observe_evacuations(to, peer_headers.evacuations_changed_at);
       if (peer_headers.refused) {
         peer_headers.refused->load = peer_headers.load;
         outcome = std::move(*peer_headers.refused);
--- a/src/fleet/internal/peer_service.h
+++ b/src/fleet/internal/peer_service.h
@@ -42,6 +42,10 @@
 
   /// Sets the callback for a desired state, in its stored form, that was fetched from a peer.
   void on_state(std::function<void(const std::string&)> action) { on_state_ = std::move(action); }
+  /// Sets the callback for evacuated zones that were fetched from a peer.
+  void on_evacuations(std::function<void(const routing::evacuation_set&)> action) {
+    on_evacuations_ = std::move(action);
+  }
 
  private:
   boost::asio::awaitable<void> serve(std::shared_ptr<server_request> request,
@@ -51,6 +55,11 @@
   void observe_version(const endpoint& peer, std::uint64_t state_version);
   boost::asio::awaitable<void> fetch_states(endpoint peer);
   boost::asio::awaitable<void> fetch_state(endpoint peer);
+  void observe_evacuations(const endpoint& peer, std::uint64_t changed_at);
+  boost::asio::awaitable<void> fetch_evacuations(endpoint peer);
+  /// Returns the document at `path` of `peer`, or nothing after logging why there is none.
+  boost::asio::awaitable<std::optional<std::string>> fetch_document(endpoint peer,
+                                                                    std::string_view path);
   std::string state_document() const;
 
   boost::asio::any_io_executor executor_;
@@ -61,7 +70,9 @@
   connection_pool& peers_;
   support::event_log& log_;
   std::function<void(const std::string&)> on_state_;
+  std::function<void(const routing::evacuation_set&)> on_evacuations_;
   routing::version_fetch version_fetch_;
+  routing::version_fetch evacuations_fetch_;
   time_point next_gossip_{};
   std::mt19937_64 random_;
 };
--- a/src/fleet/internal/store_watch.cpp
+++ b/src/fleet/internal/store_watch.cpp
@@ -58,7 +58,7 @@
   revision_ = listing->revision;
   listing_data_ = how_.changes;
   on_.listed(listing->objects);
-  if (on_.up_to_date) on_.up_to_date();
+  if (on_.up_to_date) on_.up_to_date(*revision_);
   co_return true;
 }
 
@@ -120,7 +120,7 @@
   revision_ = std::max(revision_.value_or(0), changes.revision);
   store_.log_unreadable(kind_, changes.unreadable);
   std::ranges::for_each(changes.changes, on_.changed);
-  if (on_.up_to_date) on_.up_to_date();
+  if (on_.up_to_date) on_.up_to_date(changes.revision);
 }
 
 void store_watch::forget_history() {
--- a/src/fleet/internal/store_watch.h
+++ b/src/fleet/internal/store_watch.h
@@ -22,8 +22,9 @@
   struct handlers {
     std::function<void(const std::vector<platform::stored_object>&)> listed;
     std::function<void(const platform::stored_change&)> changed;
-    /// The store has answered: everything up to now was passed to the other handlers.
-    std::function<void()> up_to_date;
+    /// The store has answered: everything up to this revision was passed to the other handlers. An
+    /// answer that was late may state an earlier revision than the last one.
+    std::function<void(std::uint64_t revision)> up_to_date;
   };
   /// How the kind is read: its first listing, and everything after it.
   struct reading {
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -129,7 +129,10 @@
                                                    .sequence = heartbeat->sequence},
                                                   now);
     check_grants(*heartbeat, now);
-    if (newest) keys = std::move(heartbeat->keys);
+    if (newest) {
+      keys = std::move(heartbeat->keys);
+      gate_.heartbeat_said_cold(heartbeat->warm_up_remaining);
+    }
   } else {
     watch_.gone(notification.upstream_id, now);
   }
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -48,6 +48,7 @@
     setting_spec{"bounds", "drain", &fleet_settings::drain, presence::optional},
     setting_spec{"bounds", "grace", &fleet_settings::grace, presence::optional},
     setting_spec{"bounds", "config", &fleet_settings::config, presence::optional},
+    setting_spec{"bounds", "evacuate", &fleet_settings::evacuate, presence::optional},
     setting_spec{"bounds", "hold_max", &fleet_settings::hold_max, presence::optional},
     setting_spec{"bounds", "repeat_ratio", &fleet_settings::repeat_ratio, presence::optional},
     setting_spec{"bounds", "repeat_window", &fleet_settings::repeat_window, presence::optional},
--- a/tests/decisions/claims/placement_test.cpp
+++ b/tests/decisions/claims/placement_test.cpp
@@ -177,3 +177,54 @@
   expect_true(reply.is_leader);
   expect_true(reply.to_release.empty());
 }
+
+Test(leader, moves_the_keys_of_owners_that_relocate_in_steps_the_most_loaded_first) {
+  leader_fixture fixture;
+  constexpr shard_key ranges = 64;
+  constexpr shard_key width = 1'024;
+  fixture.stored = empty_map("ledger");
+  fixture.stored.claims.clear();
+  for (shard_key i = 0; i < ranges; ++i)
+    fixture.stored.claims.push_back(
+        {{i * width, (i + 1) * width - 1}, {"vm-1", 1}, {"i-vm-1", 1'000}, i + 1, ""});
+  fixture.stored.next_fence = ranges + 1;
+  fixture.stored.revision = ++fixture.revision;
+  fixture.run_with({"vm-1", "vm-2", "vm-3"}, fixture.timing.leader_lease + seconds{3});
+  auto leaving = fixture.report("vm-1");
+  leaving.accepting = false;
+  leaving.relocating = true;
+  leaving.loads = {{{50 * width, 51 * width - 1}, 3.0}, {{7 * width, 8 * width - 1}, 2.0}};
+  fixture.service_leader.report_received(leaving, fixture.now);
+  fixture.now += milliseconds{100};
+  fixture.tick();
+  const auto reply = fixture.service_leader.report_received(leaving, fixture.now);
+  const auto releases = [&](shard_key key) {
+    return std::ranges::any_of(reply.to_release,
+                               [&](const auto& each) { return each.keys.contains(key); });
+  };
+  expect_true(releases(50 * width));
+  expect_true(releases(7 * width));
+  expect_true(reply.to_release.size() < ranges);
+}
+
+Test(leader, keys_of_an_owner_that_relocates_all_move_and_none_return) {
+  leader_fixture fixture;
+  const std::vector<std::string> agents{"vm-1", "vm-2", "vm-3"};
+  fixture.run_with(agents, seconds{4});
+  expect_true(fixture.owns_any("vm-1"));
+  for (int i = 0; i < 30; ++i, fixture.now += milliseconds{100}) {
+    auto leaving = fixture.report("vm-1");
+    leaving.accepting = false;
+    leaving.relocating = true;
+    auto reply = fixture.service_leader.report_received(leaving, fixture.now);
+    leaving.released = reply.to_release;
+    fixture.service_leader.report_received(leaving, fixture.now);
+    for (const auto* other : {"vm-2", "vm-3"})
+      fixture.service_leader.report_received(fixture.report(other), fixture.now);
+    fixture.tick();
+  }
+  expect_false(fixture.owns_any("vm-1"));
+  expect_true(fixture.all_owned());
+  fixture.run_with(agents, seconds{1});
+  expect_true(fixture.all_owned());
+}
--- a/tests/decisions/requests/admission_queue_test.cpp
+++ b/tests/decisions/requests/admission_queue_test.cpp
@@ -279,3 +279,47 @@
   expect_true(fixture.queue.limit_wait(fixture.now) == milliseconds{100});
   expect_true(fixture.queue.expected_limit_wait(fixture.now) == milliseconds{200});
 }
+
+Test(admission_queue, a_cold_upstream_gets_no_more_than_it_takes) {
+  queue_fixture fixture;
+  fixture.queue.set_slots(50);
+  fixture.queue.start_up().set_rate(10, fixture.now);
+  fixture.queue.start_up().heartbeat_received(seconds{3}, fixture.now);
+  constexpr int ticks = 100;
+  for (int i = 0; i < ticks; ++i, fixture.now += milliseconds{10}) {
+    fixture.offer(0, milliseconds{2'000}, milliseconds{2'000});
+    fixture.tick();
+  }
+  expect_true(fixture.started.size() >= 9 && fixture.started.size() <= 13,
+              std::to_string(fixture.started.size()));
+  expect_false(fixture.refused.empty());
+}
+
+Test(admission_queue, an_upstream_that_turns_cold_gets_no_more_of_a_queued_burst_than_it_takes) {
+  queue_fixture fixture;
+  fixture.queue.start_up().set_rate(10, fixture.now);
+  fixture.queue.start_up().heartbeat_received({}, fixture.now);
+  const auto first = fixture.offer(0, milliseconds{1'000});
+  const auto second = fixture.offer(0, milliseconds{1'000});
+  for (int i = 0; i < 2; ++i) fixture.offer(0, milliseconds{1'000});
+  fixture.queue.start_up().heartbeat_received(seconds{3}, fixture.now);
+  admission_actions out;
+  fixture.queue.rate_changed(fixture.now, out);
+  fixture.record(out);
+  fixture.finish(first);
+  fixture.finish(second);
+  expect_equal(fixture.started.size(), 2U);
+  fixture.now += milliseconds{110};
+  fixture.tick();
+  expect_equal(fixture.started.size(), 3U);
+}
+
+Test(admission_queue, takes_the_lower_of_the_named_limit_and_the_slow_start) {
+  queue_fixture fixture;
+  admission_actions out;
+  fixture.queue.limit_answered(30.0, fixture.now, out);
+  fixture.queue.start_up().set_rate(10, fixture.now);
+  expect_equal(fixture.queue.rate(fixture.now).value_or(0), 10.0);
+  fixture.queue.start_up().heartbeat_received({}, fixture.now);
+  expect_equal(fixture.queue.rate(fixture.now).value_or(0), 30.0);
+}
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -33,7 +33,7 @@
 
 std::string chosen(const upstream_directory& from, const std::vector<std::string>& tried = {},
                    time_point now = start) {
-  return from.choose("ledger", tried, 0.5, now).value_or("none");
+  return from.choose({.service = "ledger", .tried = tried, .draw = 0.5}, now).value_or("none");
 }
 
 }  // namespace
@@ -93,7 +93,9 @@
   upstreams.sent("near");
   upstreams.ended("near", attempt_health::good, load_report{0, 0, 4, milliseconds{160}}, start);
   const request_estimate large{.bytes = 60 * 1024};
-  expect_equal(upstreams.choose("ledger", {}, 0.5, start, large).value_or(""), "near");
+  expect_equal(
+      upstreams.choose({.service = "ledger", .estimate = large, .draw = 0.5}, start).value_or(""),
+      "near");
   expect_equal(chosen(upstreams), "mid");
 }
 
@@ -102,7 +104,9 @@
   upstreams.sent("near");
   upstreams.ended("near", attempt_health::good, load_report{0, 0, 4, milliseconds{100}}, start);
   const request_estimate light{.work_ratio = 0.2};
-  expect_equal(upstreams.choose("ledger", {}, 0.5, start, light).value_or(""), "near");
+  expect_equal(
+      upstreams.choose({.service = "ledger", .estimate = light, .draw = 0.5}, start).value_or(""),
+      "near");
   expect_equal(chosen(upstreams), "mid");
 }
 
@@ -186,3 +190,48 @@
   expect_false(upstreams.leaving_since("near").has_value());
   expect_equal(chosen(upstreams, {}, start + seconds{20}), "near");
 }
+
+Test(upstream_directory, offers_a_request_only_to_upstreams_in_its_regions) {
+  const auto upstreams = directory();
+  const std::vector<std::string> southern{"s"};
+  const std::vector<std::string> unknown{"x"};
+  expect_equal(upstreams.choose({.service = "ledger", .regions = southern}, start).value_or("none"),
+               "far");
+  expect_equal(upstreams.choose({.service = "ledger", .regions = unknown}, start).value_or("none"),
+               "none");
+}
+
+Test(upstream_directory, a_retry_stays_in_the_regions_of_its_request) {
+  const auto upstreams = directory();
+  const std::vector<std::string> northern{"n"};
+  const std::vector<std::string> tried{"near", "mid"};
+  const auto again =
+      upstreams.choose({.service = "ledger", .tried = tried, .regions = northern}, start);
+  expect_true(again == "near" || again == "mid");
+}
+
+Test(upstream_directory, offers_nothing_to_upstreams_of_an_evacuated_zone) {
+  auto upstreams = directory();
+  upstreams.set_evacuated_zones({"n1", "n2"});
+  expect_equal(chosen(upstreams), "far");
+  upstreams.set_evacuated_zones({"n1", "n2", "s1"});
+  expect_equal(chosen(upstreams), "none");
+  upstreams.set_evacuated_zones({});
+  expect_equal(chosen(upstreams), "near");
+}
+
+Test(upstream_directory, an_upstream_that_registers_in_an_evacuated_zone_is_not_offered_anything) {
+  auto upstreams = directory();
+  upstreams.set_evacuated_zones({"n1"});
+  upstreams.put(registered("nearer", "n1"), start);
+  expect_equal(chosen(upstreams), "mid");
+}
+
+Test(upstream_directory, a_slow_moment_of_an_upstream_diverts_requests_until_it_is_old) {
+  auto upstreams = directory();
+  upstreams.sent("near");
+  upstreams.ended("near", attempt_health::good,
+                  load_report{.slots = 4, .service_time = milliseconds{60}, .slowdown = 3}, start);
+  expect_equal(chosen(upstreams), "mid");
+  expect_equal(chosen(upstreams, {}, start + seconds{1}), "near");
+}
--- a/tests/platform_adapter/documents_test.cpp
+++ b/tests/platform_adapter/documents_test.cpp
@@ -291,3 +291,52 @@
                    .has_value());
   expect_true(reason.describe().size() < 1'000);
 }
+
+Test(desired_state, names_the_regions_of_routes_and_the_slow_start_of_services) {
+  const auto with_regions =
+      replaced(state_json, R"("priority":1)", R"("priority":1,"allowedRegions":["north","east"])");
+  const auto both = replaced(with_regions, R"("maxConnections":65)",
+                             R"("maxConnections":65,"warmup":"3s","warmupPerS":11.0)");
+  failure reason;
+  const auto read = decode_desired_state(both, reason);
+  expect_true(read.has_value(), reason.describe());
+  expect_true(read->routes[0].regions.empty());
+  expect_true(read->routes[1].regions == std::vector<std::string>{"north", "east"});
+  expect_equal(read->services.at("s2").slow_start_rate.value_or(0), 11.0);
+  expect_false(read->services.at("s1").slow_start_rate.has_value());
+}
+
+Test(desired_state, with_unreadable_regions_is_refused_and_never_taken_for_everywhere) {
+  for (const char* regions : {R"("north")", R"([1,2])", R"({"north":true})"}) {
+    const auto odd = replaced(state_json, R"("priority":1)",
+                              std::string(R"("priority":1,"allowedRegions":)") + regions);
+    failure reason;
+    expect_false(decode_desired_state(odd, reason).has_value(), regions);
+    expect_false(reason.describe().empty());
+  }
+}
+
+Test(desired_state, a_slow_start_below_zero_lets_almost_nothing_through) {
+  const auto odd =
+      replaced(state_json, R"("maxConnections":65)", R"("maxConnections":65,"warmupPerS":-4)");
+  failure reason;
+  const auto read = decode_desired_state(odd, reason);
+  expect_true(read.has_value(), reason.describe());
+  expect_equal(read->services.at("s2").slow_start_rate.value_or(-1), 0.0);
+}
+
+Test(heartbeat, with_an_absurd_warm_up_is_refused) {
+  for (const char* time : {"-3s", "99999999999999999999s", "soon"}) {
+    failure reason;
+    expect_false(
+        decode_heartbeat("i-1", replaced(heartbeat_json, "1.5s", time), reason).has_value(), time);
+  }
+}
+
+Test(evacuations, survive_encoding_and_decoding) {
+  const routing::evacuation_set set{42, {"a", "b"}};
+  failure reason;
+  expect_true(decode_evacuations(encode_evacuations(set), reason) == set, reason.describe());
+  expect_false(decode_evacuations(R"({"zones":["a"]})", reason).has_value());
+  expect_false(decode_evacuations(R"({"changed_at":-1,"zones":"a"})", reason).has_value());
+}
--- a/tests/platform_adapter/headers_test.cpp
+++ b/tests/platform_adapter/headers_test.cpp
@@ -156,3 +156,34 @@
   answer.set("X-Handover", "\xff\xfe");
   expect_true(platform::handover_of(answer) == "");
 }
+
+Test(answer_metadata, reads_the_present_speed_beside_the_load) {
+  fields from;
+  from.set("X-Server-Load", "3,1,8,300");
+  expect_equal(read_answer_metadata(200, from).load->slowdown, 3.0);
+  from.set("X-Server-Load", "3,1,8");
+  expect_equal(read_answer_metadata(200, from).load->slowdown, 1.0);
+}
+
+Test(answer_metadata, bounds_an_absurd_speed_and_omits_a_malformed_one) {
+  fields from;
+  from.set("X-Server-Load", "3,1,8,4000000000");
+  expect_true(read_answer_metadata(200, from).load->slowdown <= 20);
+  from.set("X-Server-Load", "3,1,8,0");
+  expect_true(read_answer_metadata(200, from).load->slowdown > 0);
+  for (const char* malformed : {"3,1,8,-5", "3,1,8,1e3", "3,1,8,,", "3,1,8,100,7"}) {
+    from.set("X-Server-Load", malformed);
+    expect_false(read_answer_metadata(200, from).load.has_value(), malformed);
+  }
+}
+
+Test(answer_metadata, reads_for_how_long_an_upstream_stays_cold) {
+  fields from;
+  expect_false(read_answer_metadata(200, from).cold_for.has_value());
+  from.set("X-Warmup-Ms", "1500");
+  expect_true(read_answer_metadata(503, from).cold_for == std::chrono::milliseconds{1'500});
+  for (const char* malformed : {"", "-1", "soon", "99999999999999"}) {
+    from.set("X-Warmup-Ms", malformed);
+    expect_false(read_answer_metadata(200, from).cold_for.has_value(), malformed);
+  }
+}
