--- a/tests/fleet/attempt_test.cpp
+++ b/tests/fleet/attempt_test.cpp
@@ -38,6 +38,7 @@
                      .deadline = now + milliseconds{900},
                      .state_version = 7,
                      .map_revision = 8,
+                     .evacuations_changed_at = 31,
                      .request_limit = 12.5};
   attempt read;
   expect_true(read_forwarding_header(fields_of(forwarding_header(sent, now)), now, read));
@@ -49,6 +50,7 @@
   expect_true(read.deadline == sent.deadline && read.target_time == sent.target_time);
   expect_true(read.latency_target == sent.latency_target);
   expect_equal(read.map_revision, 8U);
+  expect_equal(read.evacuations_changed_at, 31U);
   expect_true(read.request_limit == 12.5);
 }
 
@@ -125,10 +127,20 @@
 
 Test(peer_answer, without_a_refusal_is_the_upstreams_answer) {
   const auto read = read_peer_answer_headers(
-      fields_of(load_header({1, 2, 12, milliseconds{90}}) + state_version_header(5)));
+      fields_of(load_header({1, 2, 12, milliseconds{90}}) + state_version_header(5, 31)));
   expect_false(read.refused.has_value());
   expect_equal(read.load->waiting, 2U);
   expect_equal(read.state_version, 5U);
+  expect_equal(read.evacuations_changed_at, 31U);
+}
+
+Test(peer_answer, carries_the_present_speed_of_the_upstream) {
+  routing::load_report load{.slowdown = 2.5};
+  load.leaving = routing::upstream_incarnation{"i-1", 1'700};
+  const auto read = read_peer_answer_headers(fields_of(load_header(load)));
+  expect_equal(read.load->slowdown, 2.5);
+  expect_true(read.load->leaving == load.leaving);
+  expect_equal(read_peer_answer_headers(fields_of(load_header({}))).load->slowdown, 1.0);
 }
 
 Test(headers, hop_by_hop_and_own_headers_are_not_forwarded) {
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <ranges>
@@ -27,11 +28,16 @@
 /// the route `/read/` of host `soak.example` leads there.
 class small_fleet {
  public:
-  explicit small_fleet(std::size_t agents)
+  /// Changes the settings of the agent `index` before it is created.
+  using adapt_settings = std::function<void(fleet::fleet_settings&, std::size_t index)>;
+
+  explicit small_fleet(
+      std::size_t agents, const adapt_settings& adapt = [](auto&, std::size_t) {},
+      const nlohmann::json& state = desired_state(1))
       : store_(context_.get_executor(), 1), callers_(context_.get_executor(), {}) {
     store_.start(store_address());
-    for (const auto i : std::views::iota(std::size_t{0}, agents)) add_vm(i);
-    store_.put("config", "main", desired_state(1));
+    for (const auto i : std::views::iota(std::size_t{0}, agents)) add_vm(i, adapt);
+    store_.put("config", "main", state);
     for (const auto& each : agents_) each->start();
     run_for(std::chrono::milliseconds{500});
   }
@@ -91,7 +97,7 @@
 
   [[nodiscard]] endpoint store_address() const { return net_ + "1:7500"; }
 
-  void add_vm(std::size_t i) {
+  void add_vm(std::size_t i, const adapt_settings& adapt) {
     const std::string ip = net_ + std::to_string(first_agent + i);
     const endpoint upstream_address = net_ + std::to_string(first_upstream + i) + ":7510";
     fleet::fleet_settings settings{.name = "vm-" + std::to_string(i + 1),
@@ -107,10 +113,11 @@
                                    .service = "ledger",
                                    .heartbeat = std::chrono::milliseconds{300},
                                    .store = store_address()};
+    adapt(settings, i);
     store_.put("masticshunt-upstreams", settings.name,
                {{"address", settings.peer_address()},
-                {"zone", "zone"},
-                {"region", "region"},
+                {"zone", settings.zone},
+                {"region", settings.region},
                 {"service", "ledger"},
                 {"upstream", ""},
                 {"born", 0},
@@ -120,7 +127,7 @@
         context_.get_executor(),
         process_soak::upstream_settings{.name = settings.name,
                                         .service = "ledger",
-                                        .zone = "zone",
+                                        .zone = settings.zone,
                                         .address = upstream_address,
                                         .agent = settings.upstream_heartbeats},
         checker_, i));
--- a/tests/process_soak/store.h
+++ b/tests/process_soak/store.h
@@ -61,6 +61,15 @@
     stored.spec = spec;
     record_change(kind, name, stored, false);
   }
+  /// Deletes an object unconditionally, like an operator, in every mode.
+  void remove(const std::string& kind, const std::string& name) {
+    auto& objects = objects_by_kind_[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end()) return;
+    object deleted_object = found->second;
+    objects.erase(found);
+    record_change(kind, name, deleted_object, true);
+  }
   void sweep() {
     server_.sweep(boot_now());
     const auto now = boot_now();
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -93,6 +93,13 @@
     limit_named_at_.reset();
     arrivals_.clear();
   }
+  /// From now on the upstream is cold for `span`: it says so in heartbeats and health answers.
+  void turn_cold(duration span) { cold_until_ = boot_now() + span; }
+  /// While set, health checks are not answered.
+  void set_health_silent(bool silent) { health_silent_ = silent; }
+  /// Returns the requests that have arrived, and the most of them in a second while it was cold.
+  [[nodiscard]] std::size_t arrived() const { return arrived_; }
+  [[nodiscard]] std::size_t most_while_cold() const { return most_while_cold_; }
   /// While set, about half of the key commands get no response and are applied 2 s to 6 s later,
   /// and about half of the answers to heartbeats are lost.
   void set_delayed_grants(bool delayed) { delays_grants_ = delayed; }
@@ -174,6 +181,7 @@
       });
     const std::string target(request->head.target());
     if (target.starts_with("/-/")) return handle_command(request, target);
+    if (target == "/healthz") return answer_health(request);
     const std::string id = header(request, "X-Request-Id");
     const auto refuse = [&](unsigned status) {
       request->respond(
@@ -186,6 +194,7 @@
     if (leaving_told_at_)
       checker_.reached_draining_upstream(settings_.name, boot_now() - *leaving_told_at_);
     check_limit();
+    count_arrival();
     if (settings_.keyed) {
       const auto key = static_cast<claims::shard_key>(std::stoul(header(request, "X-Shard-Key")));
       if (!holds(key)) return refuse(421);
@@ -208,6 +217,24 @@
     });
   }
 
+  [[nodiscard]] std::chrono::milliseconds cold_for() const {
+    const auto left = std::max(duration{}, cold_until_ - boot_now());
+    return std::chrono::duration_cast<std::chrono::milliseconds>(left);
+  }
+  void answer_health(const request_ptr& request) {
+    if (health_silent_) return unanswered_.push_back(request);
+    request->respond({.headers = "X-Instance-Id: " + id_ + "\r\nX-Server-Load: 1,0,8,100\r\n" +
+                                 "X-Warmup-Ms: " + std::to_string(cold_for().count()) + "\r\n"});
+  }
+  void count_arrival() {
+    ++arrived_;
+    const auto now = boot_now();
+    if (now >= cold_until_) return;
+    cold_arrivals_.push_back(now);
+    while (cold_arrivals_.front() <= now - std::chrono::seconds{1}) cold_arrivals_.pop_front();
+    most_while_cold_ = std::max(most_while_cold_, cold_arrivals_.size());
+  }
+
   void handle_command(const request_ptr& request, const std::string& target) {
     const auto body = nlohmann::json::parse(request->body->buffered(), nullptr, false);
     if (settings_.grants_by_heartbeat) {
@@ -350,12 +377,15 @@
                      "\r\nContent-Type: application/json\r\n";
       request.body = std::make_shared<fleet::body_pipe>();
       const bool draining = draining_;
-      nlohmann::json heartbeat{
-          {"service", settings_.service}, {"address", settings_.address},
-          {"zone", settings_.zone},       {"version", "v1"},
-          {"capacity", settings_.slots},  {"state", draining ? "draining" : "ready"},
-          {"warmupLeft", "0ms"},          {"sequence", ++sequence_},
-          {"born", started_ms_}};
+      nlohmann::json heartbeat{{"service", settings_.service},
+                               {"address", settings_.address},
+                               {"zone", settings_.zone},
+                               {"version", "v1"},
+                               {"capacity", settings_.slots},
+                               {"state", draining ? "draining" : "ready"},
+                               {"warmupLeft", std::to_string(cold_for().count()) + "ms"},
+                               {"sequence", ++sequence_},
+                               {"born", started_ms_}};
       const bool takes_keys = settings_.keyed && settings_.grants_by_heartbeat;
       if (takes_keys) report_keys(heartbeat);
       request.body->append(heartbeat.dump());
@@ -398,6 +428,12 @@
   int incarnation_ = 0;
   std::int64_t started_ms_ = 0;
   std::uint64_t sequence_ = 0;
+  time_point cold_until_{};
+  std::deque<time_point> cold_arrivals_;
+  std::size_t most_while_cold_ = 0;
+  std::size_t arrived_ = 0;
+  bool health_silent_ = false;
+  std::vector<request_ptr> unanswered_;
   bool draining_ = false;
   bool leaving_ = false;
   std::optional<time_point> leaving_told_at_;  ///< Of the first answer that said so.
