--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -309,21 +309,26 @@
   return finish_delete(context, *store, *name, *expected);
 }
 
-/// Returns the drain record for "agent NAME" or "domain NAME".
-configuration::drain_record drain_from_arguments(const command_context& context) {
-  const bool is_agent = context.flag("agent");
-  const auto target = context.text("NAME");
+enum class drain_target { agent, failure_domain };
+
+/// Returns the drain record of the agent or failure domain `target`.
+configuration::record drain_of(drain_target kind, const std::string& target) {
+  const bool is_agent = kind == drain_target::agent;
   configuration::drain_record result{(is_agent ? "agent-" : "domain-") + target, "", ""};
   std::ranges::replace_if(
       result.name, [](char c) { return !configuration::is_record_name(std::string_view(&c, 1)); },
       '-');
   (is_agent ? result.agent : result.failure_domain) = target;
-  return result;
+  return {1, std::move(result)};
 }
 
-int run_drain(const arguments& args) {
-  command_context context(args);
-  const configuration::record desired{1, drain_from_arguments(context)};
+/// Returns the drain record for "agent NAME" or "domain NAME".
+configuration::record drain_from_arguments(const command_context& context) {
+  return drain_of(context.flag("agent") ? drain_target::agent : drain_target::failure_domain,
+                  context.text("NAME"));
+}
+
+int write_drain(command_context& context, const configuration::record& desired) {
   failure reason;
   if (!configuration::from_value(object_name(desired), configuration::to_value(desired), reason)) {
     return context.fail(reason);
@@ -331,9 +336,7 @@
   return apply_and_finish(context, {file_record{desired, std::nullopt, "the command line"}});
 }
 
-int run_undrain(const arguments& args) {
-  command_context context(args);
-  const configuration::record desired{1, drain_from_arguments(context)};
+int remove_drain(command_context& context, const configuration::record& desired) {
   auto store = context.store();
   if (!store) return exit_usage;
   const auto done = store->read(object_name(desired));
@@ -342,12 +345,28 @@
   const auto stored = configuration::from_value(done.object->name, done.object->value, reason);
   if (stored != desired) {
     return context.fail({failure_kind::conflict,
-                         done.object->name + " is not the drain order that undrain would remove",
+                         done.object->name + " is not the drain order that would be removed",
                          "check it with masticshunt get, and remove it with masticshunt delete"});
   }
   return finish_delete(context, *store, done.object->name, done.object->version);
 }
 
+int run_drain(const arguments& args) {
+  command_context context(args);
+  return write_drain(context, drain_from_arguments(context));
+}
+
+int run_undrain(const arguments& args) {
+  command_context context(args);
+  return remove_drain(context, drain_from_arguments(context));
+}
+
+int run_evacuate(const arguments& args) {
+  command_context context(args);
+  const auto order = drain_of(drain_target::failure_domain, context.text("ZONE"));
+  return context.flag("--undo") ? remove_drain(context, order) : write_drain(context, order);
+}
+
 int print_answers(const command_context& context, const std::vector<agent_answer>& answers) {
   auto items = json::array();
   std::string text;
@@ -435,6 +454,11 @@
     command{"undrain", "Lifts a drain order",
             usage("undrain [options] (agent | domain) NAME", wait_options + store_option),
             &run_undrain},
+    command{
+        "evacuate", "Empties a zone, or takes it back into service",
+        usage("evacuate [options] ZONE", "  --undo           Takes the zone back into service.\n" +
+                                             wait_options + store_option),
+        &run_evacuate},
     command{"status", "Prints the status that agents report",
             usage("status [options]", agent_option), &run_status},
     command{"dump", "Prints the whole state of agents", usage("dump [options]", agent_option),
--- a/tests/operator/command_test.cpp
+++ b/tests/operator/command_test.cpp
@@ -1,8 +1,11 @@
 #include "masticshunt/operator/command.h"
 
+#include <boost/asio/io_context.hpp>
 #include <cstdlib>
+#include <thread>
 
 #include "expect.h"
+#include "masticshunt/store/store_stand_in.h"
 #include "operator/internal/agent_query.h"
 
 using namespace masticshunt;
@@ -55,3 +58,20 @@
   expect_equal(revision_in_force(R"({"config_revision":9})"), 9U);
   expect_equal(revision_in_force("nonsense"), 0U);
 }
+
+Test(evacuate, writes_the_drain_order_of_the_zone_and_undo_removes_it) {
+  boost::asio::io_context context;
+  store::store_stand_in store(context.get_executor());
+  const auto address = "--store=" + store.address();
+  std::thread served([&context] {
+    const auto work = boost::asio::make_work_guard(context);
+    context.run();
+  });
+  expect_equal(run({"evacuate", address, "Bern"}), static_cast<int>(exit_ok));
+  expect_equal(run({"get", address, "drain", "domain-Bern"}), static_cast<int>(exit_ok));
+  expect_equal(run({"evacuate", address, "--undo", "Bern"}), static_cast<int>(exit_ok));
+  expect_equal(run({"get", address, "drain", "domain-Bern"}), static_cast<int>(exit_not_found));
+  expect_equal(run({"evacuate", address, "--undo", "Bern"}), static_cast<int>(exit_not_found));
+  context.stop();
+  served.join();
+}
