--- a/tests/process_soak/agents.h
+++ b/tests/process_soak/agents.h
@@ -26,6 +26,7 @@
   std::string grants;  ///< How the upstream takes its keys: "call" or "heartbeat".
   endpoint upstream;   ///< Address of the proxy in front of the upstream.
   endpoint store;      ///< Address of the proxy in front of the store.
+  std::string more_settings;  ///< Further sections of its settings.
 
   [[nodiscard]] endpoint callers() const { return ip + ":7501"; }
   [[nodiscard]] endpoint readiness() const { return ip + ":7502"; }
@@ -46,7 +47,8 @@
            << "\npeer_port = 7504\nmetrics_port = 7505\n[upstream]\naddress = " << config_.upstream
            << "\nservice = " << config_.service
            << "\nheartbeat = 300ms\ngrants = " << config_.grants
-           << "\n[store]\naddress = " << config_.store << "\n";
+           << "\n[store]\naddress = " << config_.store << "\n"
+           << config_.more_settings;
   }
   ~agent() { stop(SIGKILL); }
   agent(const agent&) = delete;
@@ -88,6 +90,8 @@
     return true;
   }
   [[nodiscard]] const agent_config& config() const { return config_; }
+  /// Returns the id of the process; zero if none runs.
+  [[nodiscard]] pid_t process() const { return process_; }
 
  private:
   [[nodiscard]] std::filesystem::path config_path() const {
