Keep what callers and peers make an agent hold within a budget of memory and descriptors

Each body up to 512 KiB was held whole on every connection, with nothing adding up what an agent holds: a crowd of 200 callers took 110 MB of a VM of 64. Large bodies now need a reservation in a share of the budget, or are refused as not run with a time to come back; beyond half of a share, connections that send or read too little for what they hold are closed; answers that find no room are passed on while they arrive, in pieces of 32 KiB; a connection that waits keeps no read buffer; what is refused early frees its bytes at once (assigning an empty text kept them), and a body refused before anything was passed on is answered 413 or 400. A refused second request no longer dereferences a null body when its connection ends first. Freed memory is returned after pressure.

--- a/include/masticshunt/fleet/settings.h
+++ b/include/masticshunt/fleet/settings.h
@@ -38,6 +38,9 @@
 
   double link_megabits = 1'000;  ///< Bandwidth of this VM's link in Mbit/s, each way.
 
+  std::uint64_t memory_megabytes = 160;  ///< That the process may use.
+  std::uint64_t descriptors = 4'100;     ///< That the process may open.
+
   std::chrono::milliseconds drain{2'000};
   std::chrono::milliseconds grace{6'000};
   std::chrono::milliseconds config{2'000};  ///< In which a new desired state must be in force.
--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -1,5 +1,7 @@
 #include "fleet/internal/agent_gauges.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -105,6 +107,14 @@
     gauge_definition{
         "masticshunt_store_unanswered_total", "Calls without an answer of the store",
         [](const gauge_sources& sources) { return count(sources.store.counts().unanswered); }},
+    gauge_definition{"masticshunt_heap_used_bytes", "Bytes that the process has allocated",
+                     [](const gauge_sources& /*sources*/) {
+                       const auto heap = ::mallinfo2();
+                       return count(heap.uordblks + heap.hblkhd);
+                     }},
+    gauge_definition{
+        "masticshunt_heap_kept_bytes", "Freed bytes that the allocator keeps",
+        [](const gauge_sources& /*sources*/) { return count(::mallinfo2().fordblks); }},
     gauge_definition{"masticshunt_log_lines_lost_total", "Lines that standard output did not take",
                      [](const gauge_sources& sources) { return count(sources.log.lost()); }},
 };
@@ -115,6 +125,18 @@
   for (const gauge_definition& gauge : gauge_definitions)
     metrics.make_gauge({gauge.family, gauge.help, {}},
                        [sources, read = gauge.read] { return read(sources); });
+  constexpr std::array shares{std::pair{requests::memory_share::callers, "callers"},
+                              std::pair{requests::memory_share::peers, "peers"}};
+  for (const auto& [share, name] : shares) {
+    metrics.make_gauge(
+        {"masticshunt_memory_held_bytes",
+         "Bytes that are held for others, by share of the budget",
+         {{"share", name}}},
+        [&budget = sources.budget, share = share] { return count(budget.held(share)); });
+    metrics.make_gauge(
+        {"masticshunt_memory_limit_bytes", "The budget of each share", {{"share", name}}},
+        [&budget = sources.budget, share = share] { return count(budget.limit(share)); });
+  }
   constexpr std::array kinds{std::pair{support::line_class::process, "process"},
                              std::pair{support::line_class::failure, "failure"},
                              std::pair{support::line_class::success, "success"}};
--- a/src/fleet/internal/agent_gauges.h
+++ b/src/fleet/internal/agent_gauges.h
@@ -18,6 +18,7 @@
   const claims_driver& claims;
   const store_client& store;
   const support::event_log& log;
+  const requests::memory_budget& budget;
 };
 
 /// Registers gauges that read their values from `sources` whenever `metrics` is printed.
--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -1,5 +1,6 @@
 #include "fleet/internal/agent_process.h"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -23,6 +24,10 @@
 /// The first change is applied at once; further changes within this time form one batch.
 constexpr duration registration_batching = std::chrono::milliseconds{900};
 constexpr double bytes_of_megabit = 125'000;
+constexpr std::uint64_t bytes_of_megabyte = std::uint64_t{1} << 20U;
+/// Descriptors for everything but callers' connections, as a share of all: the store, the upstream,
+/// peers, readiness, heartbeats, logs.
+constexpr double reserved_descriptors = 0.25;
 constexpr duration peer_idle_timeout = std::chrono::seconds{30};
 constexpr duration peer_pool_idle = std::chrono::seconds{20};
 /// How long a version spreads among peers faster than usual if the watches may not bring it.
@@ -49,6 +54,7 @@
       path_(std::move(path)),
       log_(STDOUT_FILENO, settings_.name),
       incarnation_(incarnation_of_process(settings_.name)),
+      budget_({.memory = settings_.memory_megabytes * bytes_of_megabyte}),
       view_(settings_),
       peer_pool_(context.get_executor(), {.idle_limit = peer_pool_idle}),
       store_(context.get_executor(), settings_.store, log_),
@@ -79,6 +85,7 @@
       signals_(context, SIGTERM, SIGINT, SIGHUP),
       state_confirmation_({.bound = settings_.config}),
       random_(incarnation_) {
+  limit_resources();
   for (auto* server :
        {&callers_server_, &readiness_server_, &upstream_server_, &peer_server_, &metrics_server_})
     server->on_accept_failed([this](const std::string& why) {
@@ -86,7 +93,7 @@
       line.add_quoted("why", why).add_quoted("remedy", "raise the limit of open descriptors");
       log_event(line.text());
     });
-  add_agent_gauges(metrics_, {view_, gate_, claims_, store_, log_});
+  add_agent_gauges(metrics_, {view_, gate_, claims_, store_, log_, budget_});
   server_limits peer_limits;
   peer_limits.idle_timeout = peer_idle_timeout;
   peer_limits.header_bytes = 64 * 1024;
@@ -104,6 +111,37 @@
   });
 }
 
+void agent_process::limit_resources() {
+  using requests::memory_share;
+  callers_server_.use_budget({&budget_, memory_share::callers},
+                             [this](auto request) { ingress_.refuse_for_memory(request); });
+  peer_server_.use_budget({&budget_, memory_share::peers},
+                          [this](auto request) { peers_.refuse(request); });
+  for (auto* server : {&callers_server_, &peer_server_})
+    server->on_evicted([this](const eviction& closed) {
+      const auto now = boot_now();
+      support::event_text line("connection_evicted");
+      line.add("why", closed.why)
+          .add("sender", closed.sender)
+          .add("bytes", closed.bytes)
+          .add("age_ms", closed.age);
+      log_.line(support::line_class::failure, line.text(), now);
+    });
+  callers_server_.set_limits(caller_limits());
+}
+
+server_limits agent_process::caller_limits() const {
+  const auto& configured = view_.routes().state().limits;
+  server_limits limits;
+  limits.header_bytes = static_cast<std::uint32_t>(configured.header_bytes);
+  limits.body_bytes = configured.body_bytes;
+  limits.header_timeout = configured.header_timeout;
+  limits.idle_timeout = configured.idle_timeout;
+  limits.connections_max = static_cast<std::size_t>(static_cast<double>(settings_.descriptors) *
+                                                    (1 - reserved_descriptors));
+  return limits;
+}
+
 void agent_process::log_event(const std::string& text) {
   log_.line(support::line_class::process, text, boot_now());
 }
@@ -229,12 +267,7 @@
   if (from == state_from_peer || unconfirmed_for > version_spread_time)
     spread_until_ = boot_now() + version_spread_time;
   const auto& in_force = view_.routes().state();
-  server_limits limits;
-  limits.header_bytes = static_cast<std::uint32_t>(in_force.limits.header_bytes);
-  limits.body_bytes = in_force.limits.body_bytes;
-  limits.header_timeout = in_force.limits.header_timeout;
-  limits.idle_timeout = in_force.limits.idle_timeout;
-  callers_server_.set_limits(limits);
+  callers_server_.set_limits(caller_limits());
   support::event_text line("state_in_force");
   line.add("version", version)
       .add("from", from)
@@ -348,9 +381,18 @@
     if (service.keyed && view_.find_map(name) == nullptr) claims_.refresh_map(name);
   schedule_claims();
   if (shutdown_) advance_shutdown(now);
+  return_memory();
   log_.flush(now);
 }
 
+void agent_process::return_memory() {
+  using requests::memory_share;
+  const bool pressed =
+      budget_.under_pressure(memory_share::callers) || budget_.under_pressure(memory_share::peers);
+  // The allocator keeps freed memory between blocks that are in use.
+  if (std::exchange(memory_was_pressed_, pressed) && !pressed) ::malloc_trim(0);
+}
+
 void agent_process::confirm_state(time_point now) {
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   if (state_confirmation_.due(now, view_.directory.size(), draw))
--- a/src/fleet/internal/agent_process.h
+++ b/src/fleet/internal/agent_process.h
@@ -58,6 +58,9 @@
   [[nodiscard]] std::uint64_t state_version() const { return view_.routes().version(); }
 
  private:
+  /// Bounds what callers and peers can make this process hold.
+  void limit_resources();
+  [[nodiscard]] server_limits caller_limits() const;
   void watch_store();
   void update_state(const std::string& text, std::string_view from);
   void apply_registration(const platform::stored_object& object);
@@ -70,6 +73,8 @@
   [[nodiscard]] bool region_allows(const attempt& request) const;
   void log_unknown_regions();
   void housekeeping();
+  /// Gives freed memory back to the system after the budget was under pressure.
+  void return_memory();
   void confirm_state(time_point now);
   void schedule_claims();
   void wait_for_signal();
@@ -86,6 +91,8 @@
   support::event_log log_;
   support::metrics_registry metrics_;
   std::uint64_t incarnation_;
+  requests::memory_budget budget_;
+  bool memory_was_pressed_ = false;
   fleet_view view_;
   connection_pool peer_pool_;
   store_client store_;
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -41,7 +41,8 @@
   std::uint64_t evacuations_changed_at = 0;  ///< Of the evacuated zones that its agent knows.
   /// Requests a second that the upstream takes as far as the ingress agent was told, if limited.
   std::optional<double> request_limit;
-  cancellation* cancel = nullptr;  ///< Not null while the request is served.
+  requests::budget_share answer_share;  ///< In which the answer's body is counted.
+  cancellation* cancel = nullptr;       ///< Not null while the request is served.
 };
 
 /// The result of an attempt.
--- a/src/fleet/internal/connection_pool.cpp
+++ b/src/fleet/internal/connection_pool.cpp
@@ -121,6 +121,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(limits_.user_timeout));
   auto& idle = idle_[connection->to];
   if (idle.size() >= limits_.idle_max) return;
+  if (connection->buffer.size() == 0) connection->buffer.shrink_to_fit();
   connection->idle_since = boot_now();
   ++connection->uses;
   idle.push_back(std::move(connection));
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -358,6 +358,7 @@
               platform::upstream_headers(remaining, incarnation.id, request->caller_service),
       .body = request->body,
       .is_head = request->method == "HEAD",
+      .answer_held = request->answer_share.hold(),
       .id = request->id,
       .id_of = [](const answer_head& head) { return platform::answer_id(head); },
       .answer_key = request->id,
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::size_t inline_body_max = 64 * 1024;
+/// Of a body that is streamed, so much is taken from its pipe at a time.
+constexpr std::size_t sent_at_once = 32 * 1024;
 constexpr duration body_progress_timeout = std::chrono::seconds{20};
 constexpr int stray_answers_max = 2;
 constexpr unsigned first_final_status = 200;
@@ -75,7 +77,7 @@
   asio::steady_timer changed(connection->socket.get_executor());
   body->on_change([&changed] { changed.cancel(); });
   while (!error && connection->socket.is_open()) {
-    std::string bytes = body->take();
+    std::string bytes = body->take(sent_at_once);
     if (bytes.empty() && !body->complete()) {
       if (body->failed()) {
         connection->socket.close(error);
@@ -92,7 +94,7 @@
       bytes.insert(0, size);
       bytes.append("\r\n");
     }
-    const bool last = body->complete();
+    const bool last = body->complete() && body->buffered().empty();
     if (last && chunked) bytes += "0\r\n\r\n";
     co_await asio::async_write(connection->socket, asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, error));
@@ -216,6 +218,7 @@
     fail_with(exchange_result::broken, "send: " + error.message());
     co_return outcome;
   }
+  free_memory_of(bytes);  // It may hold a copy of the body, which the answer's wait does not need.
   if (request.continue_deadline) {
     const auto continue_answer = co_await await_continue(*connection, *request.continue_deadline);
     if (continue_answer == continue_result::no_answer) {
@@ -234,6 +237,7 @@
 
   for (int strays = 0;; ++strays) {
     auto answer = std::make_shared<answer_reader>(connection, request.is_head, request.body_max);
+    answer->body()->count_in(std::move(request.answer_held));
     bool received = true;
     while (received && !answer->head_done()) received = co_await answer->read_some(error);
     const auto belongs =
--- a/src/fleet/internal/http_client.h
+++ b/src/fleet/internal/http_client.h
@@ -23,6 +23,8 @@
   bool is_head = false;             ///< HEAD request: the answer has no body.
   /// An answer with a larger body is returned while the rest of it still arrives.
   std::size_t body_max = body_pipe::buffered_max;
+  /// Counts the answer's body; without room for it the answer is returned while it arrives.
+  requests::held_bytes answer_held;
   /// If `id_of` is set, answers with an id other than `id` belong to other requests; the first few
   /// of them are skipped.
   std::string id;
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -30,9 +30,19 @@
 namespace {
 
 constexpr std::size_t read_size = 16 * 1024;
+/// A connection has about this much output that was taken from a body and is not sent.
+constexpr std::size_t output_size = 32 * 1024;
+/// Bodies below it are taken in without a reservation, as ordinary requests must be.
+constexpr std::uint64_t small_body_bytes = 16 * 1024;
+/// Of the connections that are over the limit's number, so many are closed at once: finding the
+/// oldest means looking at all of them.
+constexpr std::size_t evicted_share = 32;
 constexpr duration accept_retry_interval = std::chrono::milliseconds{50};
 constexpr duration accept_report_interval = std::chrono::seconds{1};
+/// After its last answer a connection is read on for this long, and so far, so that a sender which
+/// still sends reads the answer: closing with unread bytes would reset it.
 constexpr duration linger_after_close = std::chrono::seconds{1};
+constexpr std::size_t linger_bytes_max = 1024 * 1024;
 constexpr unsigned bad_request_status = 400;
 constexpr unsigned too_large_status = 413;
 constexpr unsigned header_too_large_status = 431;
@@ -71,7 +81,10 @@
     support::apply_socket_options(
         socket_, {.user_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
                       server.limits().user_timeout)});
-    idle_since_ = boot_now();
+    accepted_at_ = boot_now();
+    idle_since_ = accepted_at_;
+    progress_since_ = accepted_at_;
+    output_held_ = server.share_.hold();
   }
 
   void start() {
@@ -84,7 +97,59 @@
     const bool idle = pending_.empty() && !header_since_ && !body_in_progress_ &&
                       now - idle_since_ > limits.idle_timeout;
     const bool linger_expired = shut_down_at_ && now - *shut_down_at_ > linger_after_close;
-    if (late_header || idle || linger_expired) drop();
+    // The rest of a body that was answered early, and that nobody waits for.
+    const bool abandoned_body = body_in_progress_ && pending_.empty() && !shut_down_at_ &&
+                                now - idle_since_ > limits.idle_timeout;
+    if (late_header || idle || linger_expired || abandoned_body) drop();
+  }
+
+  /// Returns true while the connection waits for the start of a request.
+  [[nodiscard]] bool idle() const {
+    return pending_.empty() && !header_since_ && !body_in_progress_ && !shut_down_at_;
+  }
+  /// Returns true while only a part of a head has arrived.
+  [[nodiscard]] bool has_partial_head() const { return pending_.empty() && header_since_; }
+  [[nodiscard]] time_point idle_since() const { return header_since_.value_or(idle_since_); }
+  [[nodiscard]] time_point accepted_at() const { return accepted_at_; }
+  [[nodiscard]] const std::string& sender() const { return sender_; }
+  [[nodiscard]] std::uint64_t connection() const { return connection_; }
+
+  /// Returns what is held for the connection if it waits for its peer to send or to read, and
+  /// begins a new window if the last one is over.
+  [[nodiscard]] std::optional<requests::connection_holding> holding(time_point now,
+                                                                    duration window) {
+    const bool waits_for_peer =
+        (body_in_progress_ && !waits_for_space_ && !sender_waits()) || writing_;
+    if (!waits_for_peer) {
+      progress_ = 0;
+      progress_since_ = now;
+      return std::nullopt;
+    }
+    const requests::connection_holding result{connection_, bytes_held(), progress_,
+                                              now - progress_since_};
+    if (result.window >= window) {
+      progress_ = 0;
+      progress_since_ = now;
+    }
+    return result;
+  }
+  /// Returns true while the sender waits for 100 Continue.
+  [[nodiscard]] bool sender_waits() const {
+    return !pending_.empty() && pending_.back()->awaits_continue();
+  }
+  [[nodiscard]] std::uint64_t bytes_held() const {
+    std::uint64_t bytes = buffer_.size() + output_held_.bytes();
+    for (const auto& each : pending_) {
+      bytes += each->body->buffered().size();
+      if (each->answer_.body) bytes += each->answer_.body->buffered().size();
+    }
+    return bytes;
+  }
+  void drop() {
+    error_code ignored;
+    socket_.close(ignored);
+    space_timer_.cancel();
+    abandon_pending();
   }
 
   void close_if_idle() {
@@ -130,6 +195,7 @@
         if (error && error != http::error::need_more) {
           co_return refuse(error, request);
         }
+        if (request && request->body->over_budget()) refuse_body(request);
         if (parser.is_header_done() && !request) {
           // A busy process may read a request only after its sender has left.
           if (parser.is_done() && buffer_.size() == 0 && peer_has_closed()) co_return false;
@@ -142,6 +208,7 @@
         if (request) request->body->fail();
         co_return false;
       }
+      if (server_ == nullptr) co_return false;
       // Bytes that arrive after this side has closed are not read as a request, since their sender
       // treats them as not sent.
       const bool closing = server_ == nullptr || (server_->closing() && !pending_.empty());
@@ -172,18 +239,29 @@
     body.on_writable([self = weak_from_this()] {
       if (const auto alive = self.lock()) alive->space_timer_.cancel();
     });
+    waits_for_space_ = true;
     while (body.full() && socket_.is_open()) {
       error_code ignored;
       space_timer_.expires_at(std::chrono::steady_clock::time_point::max());
       co_await space_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    waits_for_space_ = false;
   }
 
   asio::awaitable<bool> fill() {
     error_code error;
-    const auto got = co_await socket_.async_read_some(
-        buffer_.prepare(read_size), asio::redirect_error(asio::use_awaitable, error));
-    buffer_.commit(got);
+    // A connection that waits keeps no buffer: most of many thousands wait.
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();
+    co_await socket_.async_wait(tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      const auto got = socket_.read_some(buffer_.prepare(read_size), error);
+      buffer_.commit(got);
+      progress_ += got;
+      if (shut_down_at_ && (read_after_shutdown_ += got) > linger_bytes_max)
+        error = asio::error::connection_aborted;
+      if (error == asio::error::would_block) error = {};
+    }
     // The end of the stream is reported only once; another read would never complete.
     if (error) received_end_ = true;
     co_return !error;
@@ -204,6 +282,7 @@
     if (parser.is_done() && !request->body->complete()) request->body->finish();
     request->sender = sender_;
     request->connection = connection_;
+    request->share_ = server_->share_;
     request->on_answer_ = [self = weak_from_this()] {
       if (const auto alive = self.lock()) alive->flush();
     };
@@ -217,10 +296,33 @@
     }
     pending_.push_back(request);
     ++server_->open_requests_;
-    server_->handler_(request);
+    if (body_in_progress_ && !reserve_body(*request->body))
+      refuse_body(request);
+    else
+      server_->handler_(request);
     return request;
   }
 
+  /// Returns false if the budget has no room for the rest of a large body.
+  bool reserve_body(body_pipe& body) {
+    if (server_->share_.budget == nullptr) return true;
+    const auto length = body.length();
+    if (length && *length < small_body_bytes) return true;
+    body.count_in(server_->share_.hold());
+    return body.reserve(length.value_or(small_body_bytes));
+  }
+
+  /// Has a request answered for whose body there is no room, unless its body is being passed on.
+  void refuse_body(const std::shared_ptr<server_request>& request) {
+    if (request->answered_ || request->over_budget_ || request->body->taken()) return;
+    request->over_budget_ = true;
+    request->keep_alive_ = false;
+    server_->refuse_(request);
+    request->body->discard();
+    request->body->fail();
+    request->cancel.request();
+  }
+
   void send_continue() {
     out_ += "HTTP/1.1 100 Continue\r\n\r\n";
     flush();
@@ -228,35 +330,55 @@
 
   bool refuse(const error_code& error, const std::shared_ptr<server_request>& request) {
     read_closed_ = true;
+    unsigned status = bad_request_status;
+    if (error == http::error::header_limit) status = header_too_large_status;
+    if (error == http::error::body_limit) status = too_large_status;
     if (request) {
-      // Nothing tells where the rest of such a body ends, so none of it is read.
+      // Nothing tells where the rest of such a body ends, so none of it is read. The request has
+      // not been passed on if its body was still being collected.
+      const bool not_passed_on = !request->answered_ && !request->body->taken();
+      if (not_passed_on) {
+        request->keep_alive_ = false;
+        request->respond({.status = status, .close = true});
+      }
       request->body->fail();
-      drop();
+      if (!not_passed_on) drop();
       return false;
     }
     auto invalid = std::make_shared<server_request>();
+    invalid->body = std::make_shared<body_pipe>();
     invalid->keep_alive_ = false;
     pending_.push_back(invalid);
     ++server_->open_requests_;
-    unsigned status = bad_request_status;
-    if (error == http::error::header_limit) status = header_too_large_status;
-    if (error == http::error::body_limit) status = too_large_status;
     invalid->respond({.status = status, .close = true});
     flush();
     return false;
   }
 
+  /// The state of an answer of which a part was appended to the output.
+  enum class body_state { complete, waiting, more, failed };
+
   void flush() {
-    if (writing_ || server_ == nullptr) return;
+    auto state = body_state::more;
+    while (state == body_state::more && !writing_ && server_ != nullptr) {
+      state = append_answers();
+      if (state == body_state::failed) return drop();
+      write_out();
+    }
+  }
+
+  /// Appends answers to the output until that is full.
+  body_state append_answers() {
     while (!pending_.empty() && pending_.front()->answered_) {
       server_request& front = *pending_.front();
-      if (front.answer_.abort) return drop();
-      if (!front.started_ && !start_answer(front)) break;
-      if (!pass_body(front)) break;
+      if (front.answer_.abort) return body_state::failed;
+      if (!front.started_ && !start_answer(front))
+        return front.answer_.body->failed() ? body_state::failed : body_state::waiting;
+      if (const auto state = pass_body(front); state != body_state::complete) return state;
       finish_front();
       if (shut_after_write_) break;
     }
-    write_out();
+    return body_state::complete;
   }
 
   /// Appends the head of the answer to the output. Returns false while the body is not ready.
@@ -269,10 +391,7 @@
         });
         return false;
       }
-      if (answer.body->failed()) {
-        drop();
-        return false;
-      }
+      if (answer.body->failed()) return false;
     }
     front.started_ = true;
     out_ += "HTTP/1.1 ";
@@ -306,20 +425,16 @@
     return true;
   }
 
-  /// Appends the available part of the body to the output. Returns true once all of it is appended.
-  bool pass_body(server_request& front) {
+  /// Appends a part of the body to the output.
+  body_state pass_body(server_request& front) {
     server_answer& answer = front.answer_;
     const bool headers_only = front.is_head_ || has_no_body(answer.status);
     if (!answer.body) {
       if (!headers_only) out_ += answer.text;
-      return true;
+      return body_state::complete;
     }
     body_pipe& body = *answer.body;
-    if (body.fully_buffered() && !front.chunked_) {
-      if (!headers_only) out_ += body.buffered();
-      return true;
-    }
-    const std::string bytes = body.take();
+    const std::string bytes = body.take(output_size);
     if (!headers_only && !bytes.empty()) {
       if (front.chunked_) {
         append_number(out_, bytes.size(), 16);
@@ -328,23 +443,24 @@
       out_ += bytes;
       if (front.chunked_) out_ += "\r\n";
     }
+    if (!body.buffered().empty()) return body_state::more;
     if (body.complete()) {
       if (front.chunked_ && !headers_only) out_ += "0\r\n\r\n";
-      return true;
-    }
-    if (body.failed()) {
-      drop();
-      return false;
+      return body_state::complete;
     }
+    if (body.failed()) return body_state::failed;
     body.on_change([self = weak_from_this()] {
       if (const auto alive = self.lock()) alive->flush();
     });
-    return false;
+    return body_state::waiting;
   }
 
   void finish_front() {
-    if (!pending_.front()->keep_alive_) shut_after_write_ = true;
-    if (pending_.front()->answer_.body) pending_.front()->answer_.body->on_change(nullptr);
+    const auto& front = pending_.front();
+    if (!front->keep_alive_) shut_after_write_ = true;
+    if (front->answer_.body) front->answer_.body->on_change(nullptr);
+    // Answered early: what still arrives of the body serves nobody.
+    if (!front->body->complete() && !front->body->taken()) front->body->discard();
     pending_.pop_front();
     --server_->open_requests_;
     idle_since_ = boot_now();
@@ -365,14 +481,28 @@
       return;
     }
     writing_ = true;
-    auto unsent = std::make_shared<std::string>(out_.substr(error ? 0 : sent));
-    out_.clear();
-    asio::async_write(socket_, asio::buffer(*unsent),
-                      [self = shared_from_this(), unsent](const error_code& failed, std::size_t) {
-                        self->writing_ = false;
-                        if (failed) return self->drop();
-                        self->flush();
-                      });
+    if (!error) out_.erase(0, sent);
+    output_held_.set(out_.size());
+    unsent_ = std::exchange(out_, {});
+    write_unsent();
+  }
+
+  void write_unsent() {
+    socket_.async_write_some(
+        asio::buffer(unsent_),
+        [self = shared_from_this()](const error_code& failed, std::size_t sent) {
+          if (failed) {
+            self->writing_ = false;
+            return self->drop();
+          }
+          self->progress_ += sent;
+          self->unsent_.erase(0, sent);
+          self->output_held_.set(self->unsent_.size());
+          if (!self->unsent_.empty()) return self->write_unsent();
+          free_memory_of(self->unsent_);
+          self->writing_ = false;
+          self->flush();
+        });
   }
 
   void shut_down_send() {
@@ -384,13 +514,6 @@
     abandon_pending();
   }
 
-  void drop() {
-    error_code ignored;
-    socket_.close(ignored);
-    space_timer_.cancel();
-    abandon_pending();
-  }
-
   void abandon_pending() {
     auto abandoned = std::exchange(pending_, {});
     if (server_ != nullptr) server_->open_requests_ -= abandoned.size();
@@ -416,12 +539,19 @@
   std::string sender_;
   std::deque<std::shared_ptr<server_request>> pending_;
   std::string out_;
+  std::string unsent_;  ///< Output that is being sent.
+  requests::held_bytes output_held_;
   bool writing_ = false;
+  std::uint64_t progress_ = 0;  ///< Bytes that the peer sent or read since `progress_since_`.
+  time_point progress_since_;
+  time_point accepted_at_;
   bool read_closed_ = false;   ///< No further requests are read.
   bool received_end_ = false;  ///< The peer closed its side, or the connection was lost.
   bool body_in_progress_ = false;
+  bool waits_for_space_ = false;  ///< Reads no more of a body until a part of it was passed on.
   bool shut_after_write_ = false;
   std::optional<time_point> shut_down_at_;
+  std::size_t read_after_shutdown_ = 0;
   std::optional<time_point> header_since_;
   time_point idle_since_;
 };
@@ -462,10 +592,12 @@
   acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
     if (error) return accept_later(error);
-    auto session =
-        std::make_shared<server_session>(*this, std::move(socket), ++connections_accepted_);
-    sessions_.insert(session);
-    session->start();
+    if (sessions_.size() < limits_.connections_max || make_room(boot_now())) {
+      auto session =
+          std::make_shared<server_session>(*this, std::move(socket), ++connections_accepted_);
+      sessions_.insert(session);
+      session->start();
+    }
     accept_next();
   });
 }
@@ -496,6 +628,46 @@
 void http_server::sweep(time_point now) {
   const auto copy = sessions_;
   for (const auto& each : copy) each->sweep(now);
+  if (share_.budget != nullptr) relieve_memory(now);
+}
+
+bool http_server::make_room(time_point now) {
+  std::vector<std::shared_ptr<server_session>> candidates;
+  std::ranges::copy_if(sessions_, std::back_inserter(candidates),
+                       [](const auto& each) { return each->idle(); });
+  if (candidates.empty())
+    std::ranges::copy_if(sessions_, std::back_inserter(candidates),
+                         [](const auto& each) { return each->has_partial_head(); });
+  const auto count = std::min(candidates.size(), limits_.connections_max / evicted_share + 1);
+  std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count), {},
+                            [](const auto& each) { return each->idle_since(); });
+  for (std::size_t i = 0; i < count; ++i) evict(candidates[i], "connections", now);
+  return count > 0;
+}
+
+void http_server::relieve_memory(time_point now) {
+  const requests::eviction_settings settings;
+  std::vector<requests::connection_holding> holdings;
+  for (const auto& each : sessions_)
+    if (const auto holding = each->holding(now, 2 * settings.window)) holdings.push_back(*holding);
+  const auto& [budget, share] = share_;
+  if (!budget->under_pressure(share)) return;
+  const auto excess = budget->held(share) - budget->limit(share) / 2;
+  for (const auto number : requests::connections_to_close(std::move(holdings), excess, settings)) {
+    const auto found =
+        std::ranges::find(sessions_, number, [](const auto& each) { return each->connection(); });
+    if (found != sessions_.end()) evict(*found, "memory", now);
+  }
+}
+
+void http_server::evict(const std::shared_ptr<server_session>& session, std::string_view why,
+                        time_point now) {
+  const auto closed = session;
+  if (on_evicted_)
+    on_evicted_({why, closed->sender(), closed->bytes_held(), now - closed->accepted_at()});
+  closed->drop();
+  closed->detach();
+  sessions_.erase(closed);
 }
 
 tcp::endpoint tcp_endpoint(const endpoint& text, error_code& error) {
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -59,11 +59,17 @@
   [[nodiscard]] bool awaits_continue() const { return on_send_continue_ != nullptr; }
   /// Returns true once the request was answered.
   [[nodiscard]] bool answered() const { return answered_; }
+  /// Returns true if the budget has no room for the body, so that the request is to be refused.
+  [[nodiscard]] bool over_budget() const { return over_budget_; }
+  /// Returns the share of the budget in which the answer is to be counted.
+  [[nodiscard]] const requests::budget_share& share() const { return share_; }
 
  private:
   friend class server_session;
   server_answer answer_;
   bool answered_ = false;
+  bool over_budget_ = false;
+  requests::budget_share share_;
   bool keep_alive_ = true;
   bool http_1_0_ = false;
   bool is_head_ = false;
@@ -84,10 +90,21 @@
   std::size_t pipelined_max = 32;
   bool handler_sends_continue = false;  ///< Otherwise the server sends 100 Continue itself.
   duration user_timeout = std::chrono::seconds{4};
+  /// Beyond it, the connections that have been idle for longest are closed, and further ones if
+  /// none is idle.
+  std::size_t connections_max = 1'000'000;
 };
 
 class server_session;
 
+/// A connection that was closed because others need what it holds.
+struct eviction {
+  std::string_view why;  ///< "memory" or "connections".
+  std::string sender;
+  std::uint64_t bytes = 0;
+  duration age{};  ///< Since the connection was accepted.
+};
+
 /// An address at which no server could listen.
 struct listen_failure {
   endpoint address;
@@ -124,6 +141,15 @@
   void close_gracefully();
   /// Closes connections that exceed a time limit.
   void sweep(time_point now);
+  /// Counts what is held for the connections in `share`. A request whose body has no
+  /// room is passed to `refuse` in place of the handler, or after it, and is to be answered there
+  /// at once: it has not been passed on.
+  void use_budget(const requests::budget_share& share, request_handler refuse) {
+    share_ = share;
+    refuse_ = std::move(refuse);
+  }
+  /// Sets the callback for a connection that is closed because others need what it holds.
+  void on_evicted(std::function<void(const eviction&)> action) { on_evicted_ = std::move(action); }
   /// Sets the limits that apply from now on.
   void set_limits(const server_limits& limits) { limits_ = limits; }
 
@@ -138,6 +164,11 @@
   void accept_next();
   /// Accepts again after a pause: as long as descriptors are used up, each try fails at once.
   void accept_later(const boost::system::error_code& why);
+  /// Makes room for a connection. Returns false if no other can be closed for it.
+  bool make_room(time_point now);
+  /// Closes connections that make the least progress while the budget is under pressure.
+  void relieve_memory(time_point now);
+  void evict(const std::shared_ptr<server_session>& session, std::string_view why, time_point now);
 
   boost::asio::any_io_executor executor_;
   request_handler handler_;
@@ -147,6 +178,9 @@
   std::function<void(const std::string& why)> on_accept_failed_;
   time_point next_accept_report_{};
   std::set<std::shared_ptr<server_session>> sessions_;
+  requests::budget_share share_;
+  request_handler refuse_;
+  std::function<void(const eviction&)> on_evicted_;
   std::uint64_t connections_accepted_ = 0;
   std::size_t open_requests_ = 0;
   bool closing_ = false;
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -28,6 +28,8 @@
 constexpr int attempts_max = 16;
 constexpr std::size_t trail_bytes_max = 400;
 constexpr milliseconds retry_after_min{60};
+/// For a large body that finds no memory: about the time that others of its size take to pass.
+constexpr milliseconds memory_retry_after{500};
 /// For a request that none of the regions of its route can serve at present.
 constexpr milliseconds region_retry_after{500};
 /// Largest Retry-After as a share of the remaining time; callers accept at most a third.
@@ -92,6 +94,14 @@
   spawn(executor_, serve(std::move(request)));
 }
 
+void ingress::refuse_for_memory(const std::shared_ptr<server_request>& request) {
+  request_state state{.request = request,
+                      .metadata = platform::read_request_metadata(request->head)};
+  state.deadline = request->arrived + state.metadata.caller_timeout.value_or(memory_retry_after);
+  state.detail = "no memory for the body";
+  answer_refused(state, refusal::overloaded, memory_retry_after);
+}
+
 asio::awaitable<void> ingress::serve(std::shared_ptr<server_request> request) {
   request_state state{.request = request,
                       .metadata = platform::read_request_metadata(request->head)};
@@ -150,6 +160,7 @@
   }
   outgoing.deadline = state.deadline;
   outgoing.cancel = &request->cancel;
+  outgoing.answer_share = request->share();
 
   if (outgoing.body && !outgoing.body->ready()) {
     asio::steady_timer changed(executor_);
--- a/src/fleet/internal/ingress.h
+++ b/src/fleet/internal/ingress.h
@@ -38,6 +38,8 @@
 
   /// Answers a caller's request.
   void handle(std::shared_ptr<server_request> request);
+  /// Refuses a request for whose body there is no memory.
+  void refuse_for_memory(const std::shared_ptr<server_request>& request);
   /// From now on refuses requests that `plan` does not take.
   void begin_shutdown(const requests::shutdown_plan& plan) { shutdown_ = plan; }
   /// Changes the bound of retries, for all agents together.
--- a/src/fleet/internal/peer_service.cpp
+++ b/src/fleet/internal/peer_service.cpp
@@ -26,6 +26,7 @@
 constexpr duration version_gossip_interval = std::chrono::seconds{1};
 constexpr duration version_gossip_interval_short = std::chrono::milliseconds{250};
 constexpr duration fetch_timeout = std::chrono::seconds{1};
+constexpr std::chrono::milliseconds memory_retry_after{500};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -68,6 +69,7 @@
   forwarded->target = text_of(request->head.target());
   forwarded->headers = headers_for_upstream(request->head);
   forwarded->cancel = &request->cancel;
+  forwarded->answer_share = request->share();
   forwarded->body = body_of(*request);
   if (request->awaits_continue())
     forwarded->send_continue = [weak = std::weak_ptr(request)] {
@@ -79,6 +81,16 @@
   spawn(executor_, serve(std::move(request), std::move(forwarded)));
 }
 
+void peer_service::refuse(const std::shared_ptr<server_request>& request) {
+  const auto outcome = refused(refusal::overloaded, memory_retry_after, "no memory for the body");
+  request->respond({.status = status_unavailable,
+                    .headers = load_header(gate_.load()) +
+                               state_version_header(view_.routes().version(),
+                                                    view_.evacuations.set().changed_at) +
+                               refusal_header(outcome),
+                    .close = true});
+}
+
 asio::awaitable<void> peer_service::serve(std::shared_ptr<server_request> request,
                                           std::shared_ptr<attempt> forwarded) {
   auto outcome = co_await gate_.serve(forwarded);
@@ -271,6 +283,7 @@
                  forwarding_header(*outgoing, now) + outgoing->headers;
   request.body = outgoing->body;
   request.is_head = outgoing->method == "HEAD";
+  request.answer_held = outgoing->answer_share.hold();
   request.deadline = outgoing->deadline + answer_grace;
   if (outgoing->body &&
       outgoing->body->length().value_or(expect_continue_min) >= expect_continue_min)
--- a/src/fleet/internal/peer_service.h
+++ b/src/fleet/internal/peer_service.h
@@ -31,6 +31,9 @@
   /// Answers a request from a peer.
   void handle(std::shared_ptr<server_request> request);
 
+  /// Refuses a request for whose body there is no memory.
+  void refuse(const std::shared_ptr<server_request>& request);
+
   /// Sends an attempt to `agent` at the address `to`.
   boost::asio::awaitable<attempt_outcome> send(std::shared_ptr<attempt> outgoing, std::string agent,
                                                endpoint to);
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -45,6 +45,8 @@
     setting_spec{"upstream", "grants", &fleet_settings::grants, presence::optional},
     setting_spec{"store", "address", &fleet_settings::store, presence::required, true},
     setting_spec{"link", "bandwidth", &fleet_settings::link_megabits, presence::optional},
+    setting_spec{"limits", "memory", &fleet_settings::memory_megabytes, presence::optional},
+    setting_spec{"limits", "descriptors", &fleet_settings::descriptors, presence::optional},
     setting_spec{"bounds", "drain", &fleet_settings::drain, presence::optional},
     setting_spec{"bounds", "grace", &fleet_settings::grace, presence::optional},
     setting_spec{"bounds", "config", &fleet_settings::config, presence::optional},
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -55,6 +55,8 @@
   members.leave();
   fleet.run_for(seconds{1});
   expect_true(fleet.serves_ordinary_request(crowd_fleet::ingress), "after the crowd");
+  std::printf("after the crowd: %llu MB\n",
+              static_cast<unsigned long long>(fleet.present_memory_mb(crowd_fleet::ingress)));
 }
 
 /// One caller in eight completes its body, the others stop a byte or a chunk short of the end.
--- a/tests/process_soak/agents.h
+++ b/tests/process_soak/agents.h
@@ -23,9 +23,9 @@
   std::string zone;
   std::string region;
   std::string service;
-  std::string grants;  ///< How the upstream takes its keys: "call" or "heartbeat".
-  endpoint upstream;   ///< Address of the proxy in front of the upstream.
-  endpoint store;      ///< Address of the proxy in front of the store.
+  std::string grants;         ///< How the upstream takes its keys: "call" or "heartbeat".
+  endpoint upstream;          ///< Address of the proxy in front of the upstream.
+  endpoint store;             ///< Address of the proxy in front of the store.
   std::string more_settings;  ///< Further sections of its settings.
 
   [[nodiscard]] endpoint callers() const { return ip + ":7501"; }
