Soak: evacuations, cold upstreams and stalled uploads

The fault-free start evacuates a zone and checks that its upstreams get nothing after the bound; two new faults evacuate zones, whose upstreams are cold afterwards, and stall uploads; upstreams are cold for 2 s after each start and report more requests in a second than they bear.

--- a/tests/process_soak/soak_run.h
+++ b/tests/process_soak/soak_run.h
@@ -67,6 +67,10 @@
   static constexpr std::chrono::seconds recovery{15};
   static constexpr std::chrono::seconds fault_free_end{4};
   static constexpr double served_after_recovery = 0.9;
+  static constexpr std::chrono::milliseconds evacuate_bound{2'000};
+  static constexpr double cold_rate = 8;
+  /// One and a half times the rate, and eight more.
+  static constexpr std::size_t cold_requests_max = 20;
 
   static nlohmann::json desired_state(std::uint64_t version) {
     char digits[16]{};
@@ -77,8 +81,10 @@
                             {"service", service},     {"maxAttempts", 2}};
     };
     const auto service = [](bool keyed) {
-      return nlohmann::json{
-          {"healthPath", "/healthz"}, {"maxConnections", 100}, {"sharded", keyed}};
+      return nlohmann::json{{"healthPath", "/healthz"},
+                            {"maxConnections", 100},
+                            {"sharded", keyed},
+                            {"warmupPerS", cold_rate}};
     };
     return {{"version", digits},
             {"routes",
@@ -110,7 +116,8 @@
                         .service = keyed ? "viewer" : "ledger",
                         .grants = options_.grants_by_heartbeat ? "heartbeat" : "call",
                         .upstream = net(3) + number + ":7511",
-                        .store = net(3) + number + ":7512"};
+                        .store = net(3) + number + ":7512",
+                        .more_settings = "[bounds]\nevacuate = 2000ms\n"};
     const auto executor = context_.get_executor();
     upstream_proxies_.push_back(
         std::make_unique<proxy>(executor, config.upstream, upstream_address));
@@ -123,7 +130,9 @@
                           .address = upstream_address,
                           .agent = config.upstream_listener(),
                           .keyed = keyed,
-                          .grants_by_heartbeat = options_.grants_by_heartbeat},
+                          .grants_by_heartbeat = options_.grants_by_heartbeat,
+                          .cold_time = std::chrono::seconds{2},
+                          .cold_requests_max = cold_requests_max},
         checker_, options_.seed + i));
     const auto* self = upstreams_.back().get();
     upstreams_.back()->set_fleet_queries(
@@ -194,7 +203,8 @@
 
   /// Starts faults at random intervals; a fault may still be active when the next ones start.
   boost::asio::awaitable<void> inject_faults() {
-    co_await sleep(fault_free_start);
+    co_await sleep(std::chrono::seconds{4});
+    co_await check_evacuation();
     const auto end = boot_now() + options_.fault_duration;
     while (boot_now() < end) {
       boost::asio::co_spawn(context_, inject_fault(), boost::asio::detached);
@@ -212,6 +222,24 @@
                                 " of the requests after recovery");
   }
 
+  /// Evacuates a zone while nothing else is disturbed, for the rest of the fault-free start.
+  boost::asio::awaitable<void> check_evacuation() {
+    const auto arrived = [this] {
+      std::size_t sum = 0;
+      for (const auto& each : upstreams_)
+        if (each->settings().zone == "zone-0") sum += each->arrived();
+      return sum;
+    };
+    store_.put("evacuations", "zone-0", nlohmann::json::object());
+    co_await sleep(evacuate_bound);
+    const auto before = arrived();
+    co_await sleep(fault_free_start - std::chrono::seconds{4} - evacuate_bound);
+    if (arrived() != before)
+      checker_.report_violation("an evacuated zone got " + std::to_string(arrived() - before) +
+                                " requests after the bound");
+    store_.remove("evacuations", "zone-0");
+  }
+
   boost::asio::awaitable<void> inject_fault() {
     using fault = boost::asio::awaitable<void> (soak_run::*)(std::size_t index, duration span);
     struct named_fault {
@@ -233,7 +261,9 @@
         named_fault{"upstream limit", &soak_run::limit_upstream},
         named_fault{"silent watches", &soak_run::silence_watches},
         named_fault{"delayed grants", &soak_run::delay_grants},
-        named_fault{"state change", &soak_run::change_state}};
+        named_fault{"state change", &soak_run::change_state},
+        named_fault{"evacuation", &soak_run::evacuate_zone},
+        named_fault{"stalled uploads", &soak_run::stall_uploads}};
     const auto& chosen = faults.at(random_() % faults.size());
     const auto index = static_cast<std::size_t>(random_() % options_.agents);
     const duration span = std::chrono::milliseconds{500 + random_() % 4'000};
@@ -324,6 +354,35 @@
     co_await sleep(span);
     upstreams_[index]->set_delayed_grants(false);
   }
+  boost::asio::awaitable<void> evacuate_zone(std::size_t index, duration span) {
+    const auto zone = upstreams_[index]->settings().zone;
+    store_.put("evacuations", zone, nlohmann::json::object());
+    co_await sleep(span);
+    for (const auto& each : upstreams_)
+      if (each->settings().zone == zone) each->turn_cold(each->settings().cold_time);
+    store_.remove("evacuations", zone);
+  }
+  /// Opens connections that send a body but for its end.
+  boost::asio::awaitable<void> stall_uploads(std::size_t index, duration span) {
+    constexpr std::size_t callers = 40;
+    constexpr std::size_t body_bytes = 200'000;
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> sockets;
+    boost::system::error_code error;
+    const auto to = fleet::tcp_endpoint(agents_[index]->config().callers(), error);
+    const std::string head =
+        "POST /write/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: s\r\n"
+        "X-Request-Deadline-Ms: 1500\r\nContent-Length: " +
+        std::to_string(body_bytes + 1) + "\r\n\r\n";
+    const auto body = std::make_shared<std::string>(head + std::string(body_bytes, 'x'));
+    for (std::size_t i = 0; i < callers; ++i) {
+      sockets.push_back(std::make_unique<boost::asio::ip::tcp::socket>(context_));
+      auto& socket = *sockets.back();
+      socket.connect(to, error);
+      if (!error)
+        boost::asio::async_write(socket, boost::asio::buffer(*body), [body](auto, auto) {});
+    }
+    co_await sleep(span);
+  }
   boost::asio::awaitable<void> change_state(std::size_t /*index*/, duration /*span*/) {
     store_.put("config", "main", desired_state(++state_version_));
     co_return;
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -34,6 +34,10 @@
   bool keyed = false;
   bool grants_by_heartbeat = false;  ///< Takes its keys with the answers to its heartbeats.
   std::size_t slots = 8;
+  /// How long it is cold after each start but the first, and the most requests that it bears in any
+  /// second of that time.
+  duration cold_time{};
+  std::size_t cold_requests_max = 0;
 };
 
 /// One upstream over all its incarnations.
@@ -59,7 +63,7 @@
   }
   /// Starts a new incarnation.
   void start() {
-    ++incarnation_;
+    if (++incarnation_ > 1) turn_cold(settings_.cold_time);
     id_ = "i-" + settings_.name + "-" + std::to_string(incarnation_);
     started_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
@@ -94,7 +98,10 @@
     arrivals_.clear();
   }
   /// From now on the upstream is cold for `span`: it says so in heartbeats and health answers.
-  void turn_cold(duration span) { cold_until_ = boot_now() + span; }
+  void turn_cold(duration span) {
+    cold_until_ = boot_now() + span;
+    cold_arrivals_.clear();
+  }
   /// While set, health checks are not answered.
   void set_health_silent(bool silent) { health_silent_ = silent; }
   /// Returns the requests that have arrived, and the most of them in a second while it was cold.
@@ -233,6 +240,9 @@
     cold_arrivals_.push_back(now);
     while (cold_arrivals_.front() <= now - std::chrono::seconds{1}) cold_arrivals_.pop_front();
     most_while_cold_ = std::max(most_while_cold_, cold_arrivals_.size());
+    if (settings_.cold_requests_max > 0 && cold_arrivals_.size() > settings_.cold_requests_max)
+      checker_.report_violation(settings_.name + " was cold and got " +
+                                std::to_string(cold_arrivals_.size()) + " requests in a second");
   }
 
   void handle_command(const request_ptr& request, const std::string& target) {
