Offer a refused request to no gate that would answer late

After a refusal for overload only upstreams that are expected to answer within the latency target are chosen, and without one the request is refused at once. An old load report decays to the upstream's usual queue instead of to none, so that a busy upstream doesn't look idle after half a second.

The load is played in virtual time by a test that fails without the rule.

--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -72,6 +72,9 @@
   std::span<const std::string> tried{};    ///< Agents of earlier attempts.
   std::span<const std::string> regions{};  ///< That may handle the request; empty: all.
   request_estimate estimate{};
+  /// If set, upstreams that are expected to answer later are not chosen: other upstreams were too
+  /// busy already, and each offer takes a part of the way and of the time.
+  std::optional<time_point> answer_by{};
   double draw = 0;  ///< Random number in [0, 1) that breaks near ties.
 };
 
@@ -94,6 +97,7 @@
   duration failure_penalty = std::chrono::milliseconds{600};  ///< At a failure share of 1.
   duration failure_half_life = std::chrono::seconds{2};       ///< Upstreams may recover.
   duration load_report_half_life = std::chrono::milliseconds{400};
+  duration usual_queue_half_life = std::chrono::seconds{4};
   duration slowdown_half_life =
       std::chrono::milliseconds{150};               ///< It changes several times a second.
   duration limit_memory = std::chrono::seconds{3};  ///< How long a named limit counts.
@@ -106,10 +110,10 @@
 /// Stores the registrations of all upstreams and chooses one for a request of an unsharded service.
 ///
 /// Estimates for each upstream when an answer would arrive, from the network delay, the queue that
-/// its agent reported (which decays with age) plus the requests that this agent sent since, and the
-/// work of the request. Bytes that cross zones or regions count as time, as those links are narrow
-/// and billed by volume. Failures add to the estimate and decay with time; an unreachable agent is
-/// ejected for a growing time. Thread safety: none.
+/// its agent reported (which decays with age to the usual queue there) plus the requests that this
+/// agent sent since, and the work of the request. Bytes that cross zones or regions count as time,
+/// as those links are narrow and billed by volume. Failures add to the estimate and decay with
+/// time; an unreachable agent is ejected for a growing time. Thread safety: none.
 class upstream_directory {
  public:
   upstream_directory(std::string zone, std::string region, balance_settings settings = {});
@@ -164,6 +168,7 @@
     std::uint32_t sent_since_report = 0;
     load_report load;
     time_point reported_at{};
+    double usual_queue = 0;  ///< Moving average of the reported queues.
     double failure_share = 0;
     time_point failure_updated_at{};
     std::uint32_t consecutive_unreachable = 0;
@@ -173,6 +178,11 @@
   [[nodiscard]] bool is_candidate(const member& upstream, const upstream_choice& request) const;
   [[nodiscard]] double cost(const member& upstream, const request_estimate& request,
                             time_point now) const;
+  /// Returns the time in the queue and at the upstream, in seconds.
+  [[nodiscard]] double work_time(const member& upstream, const request_estimate& request,
+                                 time_point now) const;
+  [[nodiscard]] bool answers_in_time(const member& upstream, const upstream_choice& request,
+                                     time_point now) const;
   /// Returns the slowdown to expect from the last report, which turns into 1 with its age.
   [[nodiscard]] double slowdown(const member& upstream, time_point now) const;
   [[nodiscard]] double failure_share(const member& upstream, time_point now) const;
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double failure_share_step = 0.12;
+constexpr double usual_queue_step = 0.2;  // weight of a report in the moving average
 constexpr double tie_share = 0.03;       // of the lowest cost: `draw` decides among costs within it
 constexpr double tried_penalty_s = 100;  // ranks behind all upstreams not tried
 constexpr double ejected_penalty_s = 10;  // ranks behind all reachable upstreams not tried
@@ -102,20 +103,35 @@
   constexpr double kilobyte_bytes = 1024;
   const double transfer_time =
       seconds(kilobyte_time) * static_cast<double>(request.bytes) / kilobyte_bytes;
+  return seconds(network_delay) + transfer_time + limit_wait(upstream, now) +
+         work_time(upstream, request, now) +
+         failure_share(upstream, now) * seconds(settings_.failure_penalty);
+}
+
+double upstream_directory::work_time(const member& upstream, const request_estimate& request,
+                                     time_point now) const {
   const duration service_time = upstream.load.service_time > duration{}
                                     ? upstream.load.service_time
                                     : settings_.assumed_service_time;
   const double age = seconds(now - upstream.reported_at) / seconds(settings_.load_report_half_life);
   const double weight = std::exp2(-age);
-  const double reported = weight * (upstream.load.running + upstream.load.waiting);
+  const double usual_weight =
+      std::exp2(-seconds(now - upstream.reported_at) / seconds(settings_.usual_queue_half_life));
+  const double reported = weight * (upstream.load.running + upstream.load.waiting) +
+                          (1 - weight) * usual_weight * upstream.usual_queue;
   const double queue =
       std::max<double>(reported + upstream.sent_since_report, upstream.in_flight) + 1;
   const double rounds_ahead = std::max(0.0, queue / std::max(1U, upstream.published.slots) - 1);
   const bool warming = now - upstream.added_at < settings_.warm_up;
-  const double work = seconds(service_time) * (rounds_ahead + request.work_ratio);
-  return seconds(network_delay) + transfer_time + limit_wait(upstream, now) +
-         work * slowdown(upstream, now) * (warming ? settings_.warm_up_factor : 1) +
-         failure_share(upstream, now) * seconds(settings_.failure_penalty);
+  return seconds(service_time) * (rounds_ahead + request.work_ratio) * slowdown(upstream, now) *
+         (warming ? settings_.warm_up_factor : 1);
+}
+
+bool upstream_directory::answers_in_time(const member& upstream, const upstream_choice& request,
+                                         time_point now) const {
+  if (!request.answer_by || upstream.reported_at == time_point{}) return true;
+  const double expected = limit_wait(upstream, now) + work_time(upstream, request.estimate, now);
+  return expected <= seconds(*request.answer_by - now);
 }
 
 double upstream_directory::slowdown(const member& upstream, time_point now) const {
@@ -163,7 +179,7 @@
                                                       time_point now) const {
   std::vector<std::pair<double, const member*>> candidates;
   for (const auto& [name, upstream] : members_) {
-    if (!is_candidate(upstream, request)) continue;
+    if (!is_candidate(upstream, request) || !answers_in_time(upstream, request, now)) continue;
     double total = cost(upstream, request.estimate, now);
     if (now < upstream.ejected_until) total += ejected_penalty_s;
     if (std::ranges::find(request.tried, name) != request.tried.end()) total += tried_penalty_s;
@@ -207,6 +223,8 @@
   if (upstream == nullptr) return;
   if (upstream->in_flight > 0) --upstream->in_flight;
   if (load) {
+    const double queue = load->running + load->waiting;
+    upstream->usual_queue += usual_queue_step * (queue - upstream->usual_queue);
     upstream->load = *load;
     upstream->reported_at = now;
     upstream->sent_since_report = 0;
--- a/src/fleet/internal/ingress.cpp
+++ b/src/fleet/internal/ingress.cpp
@@ -188,7 +188,8 @@
       // A key whose owner stands in another region moves for seconds, if at all.
       const bool owner_may_come = state.keyed && state.last_refusal != refusal::region;
       if (owner_may_come && co_await await_owner(state)) continue;
-      if (!state.regions.empty())
+      const bool none_there = state.last_refusal != refusal::overloaded;
+      if (!state.regions.empty() && none_there)
         state.retry_after = std::max(state.retry_after, region_retry_after);
       break;
     }
@@ -255,12 +256,15 @@
   if (!state.keyed) {
     const double random_draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const auto bytes = state.outgoing->body ? state.outgoing->body->length().value_or(0) : 0;
-    return view_.directory.choose({.service = state.service,
-                                   .tried = state.tried,
-                                   .regions = state.regions,
-                                   .estimate = profiles_[state.route].estimate(bytes),
-                                   .draw = random_draw},
-                                  now);
+    return view_.directory.choose(
+        {.service = state.service,
+         .tried = state.tried,
+         .regions = state.regions,
+         .estimate = profiles_[state.route].estimate(bytes),
+         .answer_by =
+             state.gates_full > 0 ? std::optional(state.outgoing->target_time) : std::nullopt,
+         .draw = random_draw},
+        now);
   }
   const auto owner = view_.owner_of(state.service, *state.metadata.key);
   state.owner = state.service + '/' + (owner ? owner->agent : std::string{});
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -235,3 +235,38 @@
   expect_equal(chosen(upstreams), "mid");
   expect_equal(chosen(upstreams, {}, start + seconds{1}), "near");
 }
+
+Test(upstream_directory, an_old_report_decays_to_the_usual_queue_not_to_none) {
+  auto upstreams = directory();
+  for (int i = 0; i < 20; ++i) {
+    upstreams.sent("near");
+    upstreams.ended("near", attempt_health::good, load_report{4, 12, 4, milliseconds{60}}, start);
+  }
+  expect_equal(chosen(upstreams, {}, start + seconds{1}), "mid");
+  expect_equal(chosen(upstreams, {}, start + seconds{30}), "near");
+}
+
+Test(upstream_directory, offers_a_refused_request_only_to_who_answers_in_time) {
+  auto upstreams = directory();
+  for (const char* agent : {"near", "mid", "far"}) {
+    upstreams.sent(agent);
+    upstreams.ended(agent, attempt_health::refused, load_report{4, 8, 4, milliseconds{100}}, start);
+  }
+  const std::vector<std::string> tried{"near"};
+  upstream_choice request{.service = "ledger", .tried = tried};
+  expect_true(upstreams.choose(request, start).has_value());
+  request.answer_by = start + milliseconds{150};
+  expect_false(upstreams.choose(request, start).has_value());
+  request.answer_by = start + milliseconds{500};
+  expect_equal(upstreams.choose(request, start).value_or("none"), "mid");
+}
+
+Test(upstream_directory, offers_a_refused_request_to_who_has_reported_nothing) {
+  auto upstreams = directory();
+  for (const char* agent : {"near", "mid"}) {
+    upstreams.sent(agent);
+    upstreams.ended(agent, attempt_health::refused, load_report{4, 8, 4, milliseconds{100}}, start);
+  }
+  const upstream_choice request{.service = "ledger", .answer_by = start + milliseconds{100}};
+  expect_equal(upstreams.choose(request, start).value_or("none"), "far");
+}
