--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -103,6 +103,7 @@
   duration limit_memory = std::chrono::seconds{3};  ///< How long a named limit counts.
   duration first_ejection = std::chrono::milliseconds{200};
   duration longest_ejection = std::chrono::seconds{2};
+  duration estimate_lifetime = std::chrono::milliseconds{2};  ///< Of unchanged upstreams.
   duration warm_up = std::chrono::seconds{3};  ///< A new upstream is assumed to be slow this long.
   double warm_up_factor = 2;
 };
@@ -117,6 +118,11 @@
 class upstream_directory {
  public:
   upstream_directory(std::string zone, std::string region, balance_settings settings = {});
+  upstream_directory(upstream_directory&&) = default;
+  upstream_directory& operator=(upstream_directory&&) = default;
+  upstream_directory(const upstream_directory&) = delete;
+  upstream_directory& operator=(const upstream_directory&) = delete;
+  ~upstream_directory() = default;
 
   /// Replaces all registrations by `all`. Returns the agents that were added, removed or changed.
   std::vector<std::string> replace_all(std::vector<registration> all, time_point now);
@@ -135,7 +141,7 @@
   [[nodiscard]] std::size_t size() const { return members_.size(); }
 
   /// Sets the zones whose upstreams get no requests.
-  void set_evacuated_zones(std::set<std::string> zones) { evacuated_zones_ = std::move(zones); }
+  void set_evacuated_zones(std::set<std::string> zones);
   /// Returns true if an upstream is registered in `region`, whatever its stage.
   [[nodiscard]] bool has_region(std::string_view region) const;
   /// Returns true if an upstream is registered in `zone`, whatever its stage.
@@ -169,20 +175,42 @@
     load_report load;
     time_point reported_at{};
     double usual_queue = 0;  ///< Moving average of the reported queues.
+    std::size_t index = 0;   ///< Of its costs among those of its service.
     double failure_share = 0;
     time_point failure_updated_at{};
     std::uint32_t consecutive_unreachable = 0;
     time_point ejected_until{};
     std::optional<time_point> leaving_since;
   };
-  [[nodiscard]] bool is_candidate(const member& upstream, const upstream_choice& request) const;
-  [[nodiscard]] double cost(const member& upstream, const request_estimate& request,
-                            time_point now) const;
-  /// Returns the time in the queue and at the upstream, in seconds.
-  [[nodiscard]] double work_time(const member& upstream, const request_estimate& request,
-                                 time_point now) const;
-  [[nodiscard]] bool answers_in_time(const member& upstream, const upstream_choice& request,
-                                     time_point now) const;
+  /// What the costs of one upstream, in seconds, consist of. It is kept for a moment, as choices
+  /// come far more often than the estimates change.
+  struct cost_terms {
+    const member* upstream = nullptr;
+    time_point estimated_at{};
+    bool usable = false;  ///< Ready, not leaving, and not in an evacuated zone.
+    double wait = 0;      ///< Until the work of a request begins.
+    double work = 0;      ///< Of an average request.
+    double kilobyte = 0;
+    double other = 0;    ///< The way, and the penalty for failures.
+    double ejected = 0;  ///< The penalty for an upstream that could not be reached.
+    bool has_reported = false;
+    double rank = 0;  ///< In the choice that is being made.
+  };
+  using service_costs = std::vector<cost_terms>;
+
+  void index_by_service();
+  void add_to_index(member& upstream);
+  /// Estimates the terms anew with the next choice.
+  void invalidate(const member& upstream) const;
+  void estimate(cost_terms& terms, time_point now) const;
+  /// Returns the cost of `request` without penalties for upstreams that rank last.
+  [[nodiscard]] static double cost(const cost_terms& terms, const request_estimate& request);
+  /// Returns the cost of `request` with the penalties; infinity if the upstream is no candidate, or
+  /// is expected to be busy with it for longer than `answer_within` seconds.
+  [[nodiscard]] static double rank(const cost_terms& terms, const upstream_choice& request,
+                                   double answer_within);
+  /// Returns the requests at the upstream and in its queue, with one that is sent now.
+  [[nodiscard]] double expected_queue(const member& upstream, time_point now) const;
   /// Returns the slowdown to expect from the last report, which turns into 1 with its age.
   [[nodiscard]] double slowdown(const member& upstream, time_point now) const;
   [[nodiscard]] double failure_share(const member& upstream, time_point now) const;
@@ -193,6 +221,7 @@
   std::string region_;
   balance_settings settings_;
   std::map<std::string, member, std::less<>> members_;
+  mutable std::map<std::string, service_costs, std::less<>> by_service_;
   std::set<std::string> evacuated_zones_;
   bool initialized_ = false;  ///< Upstreams of the first registrations do not count as new.
 };
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 #include "masticshunt/decisions/routing/residency.h"
 
@@ -39,6 +40,7 @@
     if (!kept) changed.push_back(it->first);
     it = kept ? std::next(it) : members_.erase(it);
   }
+  index_by_service();
   for (auto& published : all) {
     std::string agent = published.agent;
     if (put(std::move(published), now)) changed.push_back(std::move(agent));
@@ -51,11 +53,18 @@
   const auto [position, is_new] = members_.try_emplace(published.agent);
   member& upstream = position->second;
   if (!is_new && upstream.published == published) return false;
+  const bool other_service = !is_new && upstream.published.service != published.service;
   const bool new_incarnation = is_new || upstream.published.incarnation != published.incarnation;
-  if (new_incarnation) {
-    upstream = member{.added_at = initialized_ ? now : now - settings_.warm_up};
-  }
+  if (new_incarnation)
+    upstream =
+        member{.added_at = initialized_ ? now : now - settings_.warm_up, .index = upstream.index};
   upstream.published = std::move(published);
+  if (is_new)
+    add_to_index(upstream);
+  else if (other_service)
+    index_by_service();
+  else
+    invalidate(upstream);
   return true;
 }
 
@@ -63,6 +72,7 @@
   const auto found = members_.find(agent);
   if (found == members_.end()) return false;
   members_.erase(found);
+  index_by_service();
   return true;
 }
 
@@ -90,48 +100,71 @@
                                             seconds(settings_.failure_half_life));
 }
 
-double upstream_directory::cost(const member& upstream, const request_estimate& request,
-                                time_point now) const {
-  const bool same_zone = upstream.published.zone == zone_;
-  const duration network_delay = same_zone                              ? settings_.same_zone
-                                 : upstream.published.region == region_ ? settings_.other_zone
-                                                                        : settings_.other_region;
-  const duration kilobyte_time = same_zone ? duration{}
-                                 : upstream.published.region == region_
-                                     ? settings_.kilobyte_to_other_zone
-                                     : settings_.kilobyte_to_other_region;
-  constexpr double kilobyte_bytes = 1024;
-  const double transfer_time =
-      seconds(kilobyte_time) * static_cast<double>(request.bytes) / kilobyte_bytes;
-  return seconds(network_delay) + transfer_time + limit_wait(upstream, now) +
-         work_time(upstream, request, now) +
-         failure_share(upstream, now) * seconds(settings_.failure_penalty);
-}
-
-double upstream_directory::work_time(const member& upstream, const request_estimate& request,
-                                     time_point now) const {
+void upstream_directory::estimate(cost_terms& terms, time_point now) const {
+  const member& upstream = *terms.upstream;
+  const registration& published = upstream.published;
+  terms.estimated_at = now;
+  terms.usable = published.stage == upstream_stage::ready && !published.incarnation.id.empty() &&
+                 !upstream.leaving_since && !evacuated_zones_.contains(published.zone);
+  if (!terms.usable) return;
+  const bool same_zone = published.zone == zone_;
+  const bool same_region = published.region == region_;
+  const duration network_delay = same_zone     ? settings_.same_zone
+                                 : same_region ? settings_.other_zone
+                                               : settings_.other_region;
+  terms.kilobyte = seconds(same_zone     ? duration{}
+                           : same_region ? settings_.kilobyte_to_other_zone
+                                         : settings_.kilobyte_to_other_region);
+  const bool warming = now - upstream.added_at < settings_.warm_up;
   const duration service_time = upstream.load.service_time > duration{}
                                     ? upstream.load.service_time
                                     : settings_.assumed_service_time;
-  const double age = seconds(now - upstream.reported_at) / seconds(settings_.load_report_half_life);
-  const double weight = std::exp2(-age);
-  const double usual_weight =
-      std::exp2(-seconds(now - upstream.reported_at) / seconds(settings_.usual_queue_half_life));
+  terms.work =
+      seconds(service_time) * slowdown(upstream, now) * (warming ? settings_.warm_up_factor : 1);
+  const double rounds_ahead =
+      std::max(0.0, expected_queue(upstream, now) / std::max(1U, published.slots) - 1);
+  terms.wait = limit_wait(upstream, now) + terms.work * rounds_ahead;
+  terms.other =
+      seconds(network_delay) + failure_share(upstream, now) * seconds(settings_.failure_penalty);
+  terms.has_reported = upstream.reported_at != time_point{};
+  terms.ejected = now < upstream.ejected_until ? ejected_penalty_s : 0;
+}
+
+double upstream_directory::expected_queue(const member& upstream, time_point now) const {
+  const double age = seconds(now - upstream.reported_at);
+  const double weight = std::exp2(-age / seconds(settings_.load_report_half_life));
+  const double usual_weight = std::exp2(-age / seconds(settings_.usual_queue_half_life));
   const double reported = weight * (upstream.load.running + upstream.load.waiting) +
                           (1 - weight) * usual_weight * upstream.usual_queue;
-  const double queue =
-      std::max<double>(reported + upstream.sent_since_report, upstream.in_flight) + 1;
-  const double rounds_ahead = std::max(0.0, queue / std::max(1U, upstream.published.slots) - 1);
-  const bool warming = now - upstream.added_at < settings_.warm_up;
-  return seconds(service_time) * (rounds_ahead + request.work_ratio) * slowdown(upstream, now) *
-         (warming ? settings_.warm_up_factor : 1);
+  return std::max<double>(reported + upstream.sent_since_report, upstream.in_flight) + 1;
+}
+
+double upstream_directory::cost(const cost_terms& terms, const request_estimate& request) {
+  constexpr double kilobyte_bytes = 1024;
+  return terms.other + terms.wait + terms.work * request.work_ratio +
+         terms.kilobyte * static_cast<double>(request.bytes) / kilobyte_bytes;
 }
 
-bool upstream_directory::answers_in_time(const member& upstream, const upstream_choice& request,
-                                         time_point now) const {
-  if (!request.answer_by || upstream.reported_at == time_point{}) return true;
-  const double expected = limit_wait(upstream, now) + work_time(upstream, request.estimate, now);
-  return expected <= seconds(*request.answer_by - now);
+double upstream_directory::rank(const cost_terms& terms, const upstream_choice& request,
+                                double answer_within) {
+  constexpr double never = std::numeric_limits<double>::infinity();
+  if (!terms.usable) return never;
+  const registration& published = terms.upstream->published;
+  if (!request.regions.empty() && !allows_region(request.regions, published.region)) return never;
+  const double busy_for = terms.wait + terms.work * request.estimate.work_ratio;
+  if (terms.has_reported && busy_for > answer_within) return never;
+  const bool tried = !request.tried.empty() &&
+                     std::ranges::find(request.tried, published.agent) != request.tried.end();
+  return cost(terms, request.estimate) + terms.ejected + (tried ? tried_penalty_s : 0);
+}
+
+void upstream_directory::invalidate(const member& upstream) const {
+  by_service_.find(upstream.published.service)->second[upstream.index].estimated_at = {};
+}
+
+void upstream_directory::set_evacuated_zones(std::set<std::string> zones) {
+  evacuated_zones_ = std::move(zones);
+  index_by_service();
 }
 
 double upstream_directory::slowdown(const member& upstream, time_point now) const {
@@ -166,33 +199,38 @@
       members_, [zone](const auto& each) { return each.second.published.zone == zone; });
 }
 
-bool upstream_directory::is_candidate(const member& upstream,
-                                      const upstream_choice& request) const {
-  const registration& published = upstream.published;
-  return published.service == request.service && published.stage == upstream_stage::ready &&
-         !published.incarnation.id.empty() && !upstream.leaving_since &&
-         allows_region(request.regions, published.region) &&
-         !evacuated_zones_.contains(published.zone);
-}
-
 std::optional<std::string> upstream_directory::choose(const upstream_choice& request,
                                                       time_point now) const {
-  std::vector<std::pair<double, const member*>> candidates;
-  for (const auto& [name, upstream] : members_) {
-    if (!is_candidate(upstream, request) || !answers_in_time(upstream, request, now)) continue;
-    double total = cost(upstream, request.estimate, now);
-    if (now < upstream.ejected_until) total += ejected_penalty_s;
-    if (std::ranges::find(request.tried, name) != request.tried.end()) total += tried_penalty_s;
-    candidates.emplace_back(total, &upstream);
+  const auto of_service = by_service_.find(request.service);
+  if (of_service == by_service_.end()) return std::nullopt;
+  service_costs& costs = of_service->second;
+  const double answer_within =
+      request.answer_by ? seconds(*request.answer_by - now) : std::numeric_limits<double>::max();
+  const cost_terms* cheapest = &costs.front();
+  for (cost_terms& terms : costs) {
+    if (now - terms.estimated_at >= settings_.estimate_lifetime) estimate(terms, now);
+    terms.rank = rank(terms, request, answer_within);
+    if (terms.rank < cheapest->rank) cheapest = &terms;
   }
-  if (candidates.empty()) return std::nullopt;
-  std::ranges::sort(candidates, {}, &std::pair<double, const member*>::first);
-  const member& cheapest = *candidates.front().second;
-  const double bound = candidates.front().first + tie_share * cost(cheapest, request.estimate, now);
-  const auto tied = static_cast<std::size_t>(
-      std::ranges::count_if(candidates, [&](const auto& each) { return each.first <= bound; }));
-  return candidates[static_cast<std::size_t>(request.draw * static_cast<double>(tied))]
-      .second->published.agent;
+  if (std::isinf(cheapest->rank)) return std::nullopt;
+  const double bound = cheapest->rank + tie_share * cost(*cheapest, request.estimate);
+  const auto ties = [bound](const cost_terms& each) { return each.rank <= bound; };
+  const auto tied = static_cast<double>(std::ranges::count_if(costs, ties));
+  auto left = static_cast<std::size_t>(request.draw * tied);
+  const auto chosen = std::ranges::find_if(
+      costs, [&](const cost_terms& each) { return ties(each) && left-- == 0; });
+  return chosen->upstream->published.agent;
+}
+
+void upstream_directory::index_by_service() {
+  by_service_.clear();
+  for (auto& [name, upstream] : members_) add_to_index(upstream);
+}
+
+void upstream_directory::add_to_index(member& upstream) {
+  auto& costs = by_service_[upstream.published.service];
+  upstream.index = costs.size();
+  costs.push_back({.upstream = &upstream});
 }
 
 bool upstream_directory::reachable(std::string_view agent, time_point now) const {
@@ -214,6 +252,7 @@
   if (member* upstream = find_member(agent)) {
     ++upstream->in_flight;
     ++upstream->sent_since_report;
+    invalidate(*upstream);
   }
 }
 
@@ -221,6 +260,7 @@
                                std::optional<load_report> load, time_point now) {
   member* upstream = find_member(agent);
   if (upstream == nullptr) return;
+  invalidate(*upstream);
   if (upstream->in_flight > 0) --upstream->in_flight;
   if (load) {
     const double queue = load->running + load->waiting;
--- a/tests/decisions/routing/overload_test.cpp
+++ b/tests/decisions/routing/overload_test.cpp
@@ -62,7 +62,8 @@
     for (const auto end = now_ + span; now_ < end; now_ += milliseconds{1}) {
       for (due += per_second_ / 1'000; due >= 1; due -= 1) {
         ++arrived;
-        offer(std::make_shared<played_request>(played_request{random_() % directories_.size(), now_}));
+        offer(std::make_shared<played_request>(
+            played_request{random_() % directories_.size(), now_}));
       }
       for (std::size_t i = 0; i < gates_.size(); ++i) finish_due(i);
       if (now_.time_since_epoch() % milliseconds{20} == duration{})
@@ -83,15 +84,16 @@
   void offer(const std::shared_ptr<played_request>& request) {
     auto& directory = *directories_[request->agent];
     const bool refused_before = request->offers > 0;
-    const auto chosen = request->offers < gates_tried_max
-                            ? directory.choose({.service = "ledger",
-                                                .tried = request->tried,
-                                                .answer_by = refused_before
-                                                                 ? std::optional(request->arrived + target)
-                                                                 : std::nullopt,
-                                                .draw = draw()},
-                                               now_)
-                            : std::nullopt;
+    const auto chosen =
+        request->offers < gates_tried_max
+            ? directory.choose(
+                  {.service = "ledger",
+                   .tried = request->tried,
+                   .answer_by =
+                       refused_before ? std::optional(request->arrived + target) : std::nullopt,
+                   .draw = draw()},
+                  now_)
+            : std::nullopt;
     if (!chosen) {
       ++refused;
       waits_of_refused.push_back(now_ - request->arrived);
@@ -120,7 +122,8 @@
         gates_[i].running.emplace(now_ + service_time, std::pair(each.id, request));
         continue;
       }
-      directories_[request->agent]->ended(std::to_string(i), attempt_health::refused, load(i), now_);
+      directories_[request->agent]->ended(std::to_string(i), attempt_health::refused, load(i),
+                                          now_);
       again.push_back(request);
     }
     for (const auto& each : again) offer(each);
@@ -156,8 +159,7 @@
 
 /// Requests a second that `gates` upstreams can run.
 double room(std::size_t gates) {
-  return static_cast<double>(gates * slots) /
-         std::chrono::duration<double>(service_time).count();
+  return static_cast<double>(gates * slots) / std::chrono::duration<double>(service_time).count();
 }
 
 }  // namespace
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -18,6 +18,7 @@
 #include "decisions/requests/virtual_time/chain_run.h"
 #include "decisions/requests/virtual_time/connection_run.h"
 #include "decisions/requests/virtual_time/policy_run.h"
+#include "masticshunt/decisions/routing/upstream_directory.h"
 
 namespace {
 
@@ -334,6 +335,43 @@
   return checks.missed() == 0 ? 0 : 1;
 }
 
+/// Checks the time and the allocations of a choice among `upstreams` upstreams.
+void check_choice(std::size_t upstreams, verdicts& checks) {
+  constexpr std::size_t choices = 20'000;
+  routing::upstream_directory directory("z0", "r0");
+  const time_point start{std::chrono::seconds{100}};
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    const std::string agent = "agent-" + std::to_string(i);
+    directory.put({.agent = agent,
+                   .address = "10.0.0.1:1",
+                   .zone = "z" + std::to_string(i % 6),
+                   .region = "r" + std::to_string(i % 3),
+                   .service = "ledger",
+                   .incarnation = {"i-" + agent, 1},
+                   .slots = 9},
+                  start);
+    directory.ended(agent, routing::attempt_health::good,
+                    routing::load_report{.running = static_cast<std::uint32_t>(i % 9),
+                                         .slots = 9,
+                                         .service_time = std::chrono::milliseconds{100}},
+                    start);
+  }
+  std::size_t chosen = 0;
+  const auto choose = [&](std::size_t i) {
+    const time_point now = start + std::chrono::microseconds{i};
+    chosen += directory.choose({.service = "ledger", .draw = 0.5}, now)->size();
+  };
+  choose(0);
+  const auto allocated = allocations;
+  const auto began = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < choices; ++i) choose(i);
+  const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - began;
+  const auto allocated_by_choices = static_cast<double>(allocations - allocated) / choices;
+  const std::string name = "choice among " + std::to_string(upstreams) + " upstreams, ";
+  checks.at_most(name + "microseconds", took.count() / choices, chosen > 0 ? 1 : 0);
+  checks.at_most(name + "allocations", allocated_by_choices, 0);
+}
+
 int bench(const options& selected) {
   std::vector<figure_row> rows = run_all(selected);
   if (!selected.csv.empty()) write_csv(selected.csv, rows);
@@ -348,6 +386,7 @@
     cost_run(target, 1).check_targets(target.name + ", busy", checks);
     cost_run(target, 10).check_targets(target.name + ", flooded", checks);
   }
+  check_choice(200, checks);
   std::printf("%d targets missed\n", checks.missed());
   return checks.missed() == 0 ? 0 : 1;
 }
