Name regions that nobody knows once the registrations have been listed

A desired state usually arrives before the registrations, so a misspelt region was never logged at a start. The connections of the server take their statuses from Beast.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -236,6 +236,7 @@
                 }
                 view_.directory.replace_all(std::move(registrations), boot_now());
                 view_.directory_loaded = true;
+                log_unknown_regions();
                 upstream_.registrations_loaded();
                 fleet_changed();
               },
--- a/src/fleet/internal/server_session.cpp
+++ b/src/fleet/internal/server_session.cpp
@@ -34,9 +34,6 @@
 /// still sends reads the answer: closing with unread bytes would reset it.
 constexpr duration linger_after_close = std::chrono::seconds{1};
 constexpr std::size_t linger_bytes_max = 1024 * 1024;
-constexpr unsigned bad_request_status = 400;
-constexpr unsigned too_large_status = 413;
-constexpr unsigned header_too_large_status = 431;
 
 void append_number(std::string& to, std::uint64_t value, int base = 10) {
   std::array<char, 24> text{};
@@ -95,7 +92,7 @@
 }
 
 std::optional<requests::connection_holding> server_session::holding(time_point now,
-                                                                  duration window) {
+                                                                    duration window) {
   const bool waits_for_peer =
       (body_in_progress_ && !waits_for_space_ && !sender_waits()) || writing_;
   if (!waits_for_peer) {
@@ -302,11 +299,13 @@
   flush();
 }
 
-bool server_session::refuse(const error_code& error, const std::shared_ptr<server_request>& request) {
+bool server_session::refuse(const error_code& error,
+                            const std::shared_ptr<server_request>& request) {
   read_closed_ = true;
-  unsigned status = bad_request_status;
-  if (error == http::error::header_limit) status = header_too_large_status;
-  if (error == http::error::body_limit) status = too_large_status;
+  const auto status = static_cast<unsigned>(
+      error == http::error::header_limit ? http::status::request_header_fields_too_large
+      : error == http::error::body_limit ? http::status::payload_too_large
+                                         : http::status::bad_request);
   if (request) {
     // Nothing tells where the rest of such a body ends, so none of it is read. The request has
     // not been passed on if its body was still being collected.
@@ -456,21 +455,20 @@
 }
 
 void server_session::write_unsent() {
-  socket_.async_write_some(
-      asio::buffer(unsent_),
-      [self = shared_from_this()](const error_code& failed, std::size_t sent) {
-        if (failed) {
-          self->writing_ = false;
-          return self->drop();
-        }
-        self->progress_ += sent;
-        self->unsent_.erase(0, sent);
-        self->output_held_.set(self->unsent_.size());
-        if (!self->unsent_.empty()) return self->write_unsent();
-        free_memory_of(self->unsent_);
-        self->writing_ = false;
-        self->flush();
-      });
+  socket_.async_write_some(asio::buffer(unsent_),
+                           [self = shared_from_this()](const error_code& failed, std::size_t sent) {
+                             if (failed) {
+                               self->writing_ = false;
+                               return self->drop();
+                             }
+                             self->progress_ += sent;
+                             self->unsent_.erase(0, sent);
+                             self->output_held_.set(self->unsent_.size());
+                             if (!self->unsent_.empty()) return self->write_unsent();
+                             free_memory_of(self->unsent_);
+                             self->writing_ = false;
+                             self->flush();
+                           });
 }
 
 void server_session::shut_down_send() {
--- a/src/fleet/internal/server_session.h
+++ b/src/fleet/internal/server_session.h
@@ -82,7 +82,8 @@
 
   /// Answers bytes that are no request, or are too many, if nothing of them was passed on. Returns
   /// false.
-  bool refuse(const boost::system::error_code& error, const std::shared_ptr<server_request>& request);
+  bool refuse(const boost::system::error_code& error,
+              const std::shared_ptr<server_request>& request);
 
   /// The state of an answer of which a part was appended to the output.
   enum class body_state { complete, waiting, more, failed };
