--- a/tests/decisions/claims/placement_test.cpp
+++ b/tests/decisions/claims/placement_test.cpp
@@ -228,3 +228,32 @@
   fixture.run_with(agents, seconds{1});
   expect_true(fixture.all_owned());
 }
+
+Test(leader, the_next_leader_moves_the_rest_of_the_keys_of_an_owner_that_relocates) {
+  leader_fixture fixture;
+  fixture.run_with({"vm-1", "vm-2", "vm-3"}, seconds{4});
+  expect_true(fixture.owns_any("vm-1"));
+  const auto report_and_release = [&] {
+    auto leaving = fixture.report("vm-1");
+    leaving.accepting = false;
+    leaving.relocating = true;
+    leaving.released = fixture.service_leader.report_received(leaving, fixture.now).to_release;
+    fixture.service_leader.report_received(leaving, fixture.now);
+    for (const auto* other : {"vm-2", "vm-3"})
+      fixture.service_leader.report_received(fixture.report(other), fixture.now);
+  };
+  // The first leader is told, and is lost before it has moved anything.
+  report_and_release();
+  fixture.now += fixture.timing.leader_lease + seconds{1};
+  fixture.service_leader =
+      leader{"ledger", "vm-8", "10.0.0.8:7600", 600, fixture.timing, fixture.now};
+  fixture.service_leader.set_candidate(0);
+  for (const auto end = fixture.now + fixture.timing.leader_lease + seconds{5}; fixture.now < end;
+       fixture.now += milliseconds{100}) {
+    report_and_release();
+    fixture.tick();
+  }
+  expect_equal(fixture.stored.leader, "vm-8");
+  expect_false(fixture.owns_any("vm-1"));
+  expect_true(fixture.all_owned());
+}
--- a/tools/evacuation.cpp
+++ b/tools/evacuation.cpp
@@ -23,11 +23,11 @@
 
 constexpr std::uint64_t zones = 3;
 constexpr duration step = milliseconds{10};
-constexpr duration way = milliseconds{10};            ///< Of a message between agents.
-constexpr duration store_write = milliseconds{20};    ///< Until the leader has the answer.
+constexpr duration way = milliseconds{10};              ///< Of a message between agents.
+constexpr duration store_write = milliseconds{20};      ///< Until the leader has the answer.
 constexpr duration work_in_flight = milliseconds{150};  ///< Of a range that is released.
-constexpr duration request_wait = milliseconds{300};  ///< For the owner of a key that moves.
-constexpr double requests_of_owner = 20;              ///< A second.
+constexpr duration request_wait = milliseconds{300};    ///< For the owner of a key that moves.
+constexpr double requests_of_owner = 20;                ///< A second.
 constexpr duration settling = std::chrono::seconds{6};
 constexpr duration watched = std::chrono::seconds{20};
 
@@ -99,8 +99,8 @@
 
   void report_if_due(owner& each) {
     for (const auto& [fence, range] : each.releasing)
-      if (range.second <= now_ && std::ranges::find(each.report.released, range.first) ==
-                                      each.report.released.end()) {
+      if (range.second <= now_ &&
+          std::ranges::find(each.report.released, range.first) == each.report.released.end()) {
         each.report.released.push_back(range.first);
         each.next_report = now_;
       }
