--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -125,18 +125,19 @@
   for (const auto number : requests::connections_to_close(std::move(holdings), excess, settings)) {
     const auto found =
         std::ranges::find(sessions_, number, [](const auto& each) { return each->connection(); });
-    if (found != sessions_.end()) evict(*found, "memory", now);
+    if (found == sessions_.end()) continue;
+    const auto closed = sessions_.extract(found);
+    evict(closed.value(), "memory", now);
   }
 }
 
 void http_server::evict(const std::shared_ptr<server_session>& session, std::string_view why,
                         time_point now) {
-  const auto closed = session;
   if (on_evicted_)
-    on_evicted_({why, closed->sender(), closed->bytes_held(), now - closed->accepted_at()});
-  closed->drop();
-  closed->detach();
-  sessions_.erase(closed);
+    on_evicted_({why, session->sender(), session->bytes_held(), now - session->accepted_at()});
+  session->drop();
+  session->detach();
+  sessions_.erase(session);
 }
 
 tcp::endpoint tcp_endpoint(const endpoint& text, error_code& error) {
--- a/src/fleet/internal/server_session.cpp
+++ b/src/fleet/internal/server_session.cpp
@@ -231,8 +231,8 @@
     const auto got = socket_.read_some(buffer_.prepare(read_size), error);
     buffer_.commit(got);
     progress_ += got;
-    if (shut_down_at_ && (read_after_shutdown_ += got) > linger_bytes_max)
-      error = asio::error::connection_aborted;
+    if (shut_down_at_) read_after_shutdown_ += got;
+    if (read_after_shutdown_ > linger_bytes_max) error = asio::error::connection_aborted;
     if (error == asio::error::would_block) error = {};
   }
   // The end of the stream is reported only once; another read would never complete.
