--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -192,6 +192,27 @@
   expect_equal(fixture.arrived, std::size_t{0});
 }
 
+Test(gate, refuses_queued_requests_whose_region_a_new_version_withdraws) {
+  gate_fixture fixture;
+  fixture.work = milliseconds{150};
+  bool allowed = true;
+  fixture.gate().on_region_check([&](const attempt&) { return allowed; });
+  constexpr int rounds_max = 200;
+  for (int i = 0; i < rounds_max && fixture.gate().load().waiting == 0; ++i)
+    fixture.offer_every(milliseconds{2}, milliseconds{20});
+  const auto running = fixture.gate().load().running;
+  const auto answered = [&] {
+    return std::ranges::count(fixture.outcomes, attempt_result::answered, &attempt_outcome::result);
+  };
+  const auto before = answered();
+  allowed = false;
+  fixture.offer_every(milliseconds{50}, seconds{2});
+  expect_true(answered() <= before + running, std::to_string(answered()));
+  expect_true(std::ranges::any_of(fixture.outcomes, [](const attempt_outcome& each) {
+    return each.result == attempt_result::not_run && each.why == refusal::region;
+  }));
+}
+
 Test(gate, offers_the_leader_only_the_slots_that_a_limit_lets_it_use) {
   gate_fixture fixture;
   fixture.work = milliseconds{100};
--- a/tests/fleet/places_test.cpp
+++ b/tests/fleet/places_test.cpp
@@ -165,3 +165,16 @@
                 std::to_string(fleet.upstream(0).most_while_cold()));
   }
 }
+
+Test(slow_start, of_all_upstreams_at_once_is_kept_by_each_and_serves_what_they_take) {
+  small_fleet fleet(3, spread, state_with_slow_start());
+  for (std::size_t i = 0; i < 3; ++i) fleet.upstream(i).turn_cold(seconds{5});
+  fleet.start_upstreams();
+  fleet.send_requests(0, milliseconds{5}, seconds{1});
+  fleet.send_requests(1, milliseconds{5}, seconds{1});
+  for (std::size_t i = 0; i < 3; ++i) {
+    expect_true(fleet.upstream(i).arrived() > 0, std::to_string(i));
+    expect_true(fleet.upstream(i).most_while_cold() <= cold_bound,
+                std::to_string(fleet.upstream(i).most_while_cold()));
+  }
+}
