--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-2/run_case.sh" slow_readers "$(dirname "$0")"
+exec "$(dirname "$0")/../common-2/run_case.sh" stop_with_slow_reader "$(dirname "$0")"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-2/run_case.sh" smuggled "$(dirname "$0")"
+exec "$(dirname "$0")/../common-2/run_case.sh" leaving_forgotten "$(dirname "$0")"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,10 +4,10 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for each in leaving_forgotten smuggled stop_with_slow_reader slow_readers; do
+for each in leaving_forgotten smuggled stop_with_slow_reader; do
   g++ -std=c++20 -O1 -pthread "review/common-2/$each.cpp" -o "target/review-2/$each" &
 done
 wait
-for each in leaving_forgotten smuggled stop_with_slow_reader slow_readers; do
+for each in leaving_forgotten smuggled stop_with_slow_reader; do
   test -x "target/review-2/$each"
 done
