--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -283,8 +283,8 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// The platform's store, as PROTOCOL.md describes it. While `down`, each call is answered 503, which
-/// means that nothing was done.
+/// The platform's store, as PROTOCOL.md describes it. While `down`, each call is answered 503,
+/// which means that nothing was done.
 class store {
  public:
   explicit store(const std::string& ip)
@@ -524,8 +524,7 @@
     pause_for(how_.work);
     const std::string body(how_.answer_bytes, static_cast<char>('a' + runs_.size() % 26));
     return send_all(fd, answer_text(200, body,
-                                    "X-Request-Id: " + id +
-                                        "\r\nX-Response-Signature: sig." + id +
+                                    "X-Request-Id: " + id + "\r\nX-Response-Signature: sig." + id +
                                         "\r\nX-Server-Load: 1,0," + std::to_string(how_.slots) +
                                         "\r\nKeep-Alive: timeout=10\r\n"));
   }
@@ -574,12 +573,13 @@
     std::ofstream out(path);
     const auto at = [this](int port) { return ip_ + ":" + std::to_string(port); };
     out << "[agent]\nname = " << name_ << "\nip = " << ip_ << "\nzone = z1\nregion = r1\n"
-        << "first_start = " << (first_start ? "true" : "false") << "\n\n[listen]\ncallers = "
-        << at(ports_.callers) << "\nreadiness = " << at(ports_.readiness)
-        << "\nupstream = " << at(ports_.heartbeats) << "\npeer_port = " << ports_.peer
-        << "\nmetrics_port = " << ports_.metrics << "\n\n[upstream]\naddress = " << upstream_
-        << "\nservice = " << service_ << "\nheartbeat = 870ms\ngrants = call\n\n[store]\naddress = "
-        << store_ << "\n\n[link]\nbandwidth = 1000.0\n\n[limits]\nmemory = " << memory_mb_ << "\n"
+        << "first_start = " << (first_start ? "true" : "false")
+        << "\n\n[listen]\ncallers = " << at(ports_.callers)
+        << "\nreadiness = " << at(ports_.readiness) << "\nupstream = " << at(ports_.heartbeats)
+        << "\npeer_port = " << ports_.peer << "\nmetrics_port = " << ports_.metrics
+        << "\n\n[upstream]\naddress = " << upstream_ << "\nservice = " << service_
+        << "\nheartbeat = 870ms\ngrants = call\n\n[store]\naddress = " << store_
+        << "\n\n[link]\nbandwidth = 1000.0\n\n[limits]\nmemory = " << memory_mb_ << "\n"
         << "descriptors = 4100\n\n[bounds]\ndrain = 2000ms\ngrace = 6s\nconfig = 2000ms\n"
         << "evacuate =\nhold_max = 10000ms\nrepeat_ratio = 0.2\nrepeat_window = 10s\n"
         << "repeat_slack = 60\n";
@@ -682,8 +682,8 @@
   void start(const json& routes, const std::set<std::string>& services) {
     json named = json::object();
     for (const auto& each : services)
-      named[each] = {{"healthPath", "/healthz"}, {"maxConnections", 120}, {"protocol", "h1"},
-                     {"tls", false}};
+      named[each] = {
+          {"healthPath", "/healthz"}, {"maxConnections", 120}, {"protocol", "h1"}, {"tls", false}};
     store_.put("config", "main",
                {{"version", "00000007"},
                 {"routes", routes},
--- a/review/common-2/smuggled.cpp
+++ b/review/common-2/smuggled.cpp
@@ -11,14 +11,14 @@
   all.start({{"r1", lab::route("svc", "unsafe", "3000ms")}}, {"svc"});
   auto& agent = all.agent_at(0);
 
-  const std::string inner = lab::request_text("POST", "/svc/inner", "inner", 3'000,
-                                              "Content-Length: 0\r\n");
+  const std::string inner =
+      lab::request_text("POST", "/svc/inner", "inner", 3'000, "Content-Length: 0\r\n");
   char size[16];
   std::snprintf(size, sizeof size, "%zx", inner.size());
   const std::string outer =
       lab::with_trouble()
-          ? lab::request_text("POST", "/svc/outer", "outer", 3'000,
-                              "Transfer-Encoding: gzip\r\n") + inner
+          ? lab::request_text("POST", "/svc/outer", "outer", 3'000, "Transfer-Encoding: gzip\r\n") +
+                inner
           : lab::request_text("POST", "/svc/outer", "outer", 3'000,
                               "Transfer-Encoding: chunked\r\n") +
                 size + "\r\n" + inner + "\r\n0\r\n\r\n";
