--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -26,6 +26,7 @@
 #include "fleet/loopback.h"
 #include "masticshunt/support/clock.h"
 #include "process_soak/agents.h"
+#include "process_soak/heartbeats.h"
 #include "process_soak/proxy.h"
 #include "process_soak/store.h"
 
@@ -199,20 +200,15 @@
 /// Answers requests and sends heartbeats to its agent.
 class crowd_upstream {
  public:
-  crowd_upstream(boost::asio::io_context& context, endpoint address, endpoint agent,
+  crowd_upstream(boost::asio::io_context& context, const endpoint& address, endpoint agent,
                  std::size_t slots)
       : context_(context),
-        slots_(slots),
-        address_(std::move(address)),
-        agent_(std::move(agent)),
-        id_("i-" + address_),
         server_(context.get_executor(), [this](auto request) { answer(std::move(request)); }),
-        pool_(context.get_executor(), {}) {
+        heartbeats_(context, address, std::move(agent), slots) {
     fleet::server_limits limits;
     limits.body_bytes = std::uint64_t{1} << 30U;
     server_.set_limits(limits);
-    server_.start(address_);
-    boost::asio::co_spawn(context_, send_heartbeats(), boost::asio::detached);
+    server_.start(address);
   }
   void sweep() { server_.sweep(boot_now()); }
 
@@ -226,41 +222,10 @@
     request->respond({.headers = "X-Request-Id: " + id + "\r\nX-Response-Signature: s\r\n",
                       .text = large ? std::string(large_answer, 'x') : "body of " + id});
   }
-  boost::asio::awaitable<void> send_heartbeats() {
-    boost::asio::steady_timer interval(context_);
-    for (;;) {
-      fleet::exchange_request request;
-      request.head = "PUT /-/instances/" + id_ + " HTTP/1.1\r\nHost: " + agent_ +
-                     "\r\nContent-Type: application/json\r\n";
-      request.body = std::make_shared<fleet::body_pipe>();
-      request.body->append(nlohmann::json{
-          {"service", "ledger"},
-          {"address", address_},
-          {"zone", "zone"},
-          {"version", "v1"},
-          {"capacity", slots_},
-          {"state", "ready"},
-          {"warmupLeft", "0ms"},
-          {"sequence", ++sequence_},
-          {"born", 1}}.dump());
-      request.body->finish();
-      request.deadline = boot_now() + std::chrono::seconds{1};
-      fleet::cancellation never_cancelled;
-      co_await fleet::run_exchange(pool_, agent_, std::move(request), never_cancelled);
-      interval.expires_after(std::chrono::milliseconds{300});
-      co_await interval.async_wait(boost::asio::use_awaitable);
-    }
-  }
-
   static constexpr std::size_t large_answer = 2'000'000;
   boost::asio::io_context& context_;
-  std::size_t slots_;
-  endpoint address_;
-  endpoint agent_;
-  std::string id_;
   fleet::http_server server_;
-  fleet::connection_pool pool_;
-  std::uint64_t sequence_ = 0;
+  process_soak::heartbeats heartbeats_;
 };
 
 /// What the VM of an agent bears, stated to it in its settings.
