An answer with a line that begins with a blank is no answer

Callers saw: a target in trouble sent a 200 with a field name after a blank; the caller got it as an answer, with the line joined to the value before it (X-Response-Signature: s X-Odd: 1), or without the length that the line named.

Cause: the parser takes such a line for an old continuation line and joins it to the value before. RFC 9112, section 5.2: a proxy must not pass it on. Nothing on the way looked at the bytes.

Evidence: 19 lines with blanks and control bytes, as first and last line, with and without a length, at once and byte by byte, beside the target and through the other agent.

--- a/tests/broken_answers/fleet_agent_test.cpp
+++ b/tests/broken_answers/fleet_agent_test.cpp
@@ -110,3 +110,58 @@
     expect_truthful_failure(fleet.ask(agent, {without_length("part of"), ending::reset, pause}));
   });
 }
+
+namespace {
+
+using namespace std::string_literals;
+
+/// Lines whose name holds a blank or a control byte; each has `Odd` in it, or is one of framing.
+const std::vector<std::string> odd_lines{"X Odd: 1"s,
+                                         "X-Odd : 1"s,
+                                         "X-Odd\t: 1"s,
+                                         "X\tOdd: 1"s,
+                                         " X-Odd: 1"s,
+                                         "\tX-Odd: 1"s,
+                                         "X\001Odd: 1"s,
+                                         "X\000Odd: 1"s,
+                                         "X\177Odd: 1"s,
+                                         "X\rOdd: 1"s,
+                                         "X\nOdd: 1"s,
+                                         "Content-Length : 1"s,
+                                         ": Odd"s,
+                                         "\001Odd: 1"s,
+                                         " Content-Length: 1"s,
+                                         "Content\001-Length: 1"s,
+                                         "Odd"s,
+                                         "X\033Odd: 1"s,
+                                         "Transfer-Encoding : chunked"s};
+
+/// Returns answers with `line` as the first and as the last line of the head.
+std::vector<std::string> answers_with(const std::string& line) {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string fields(head.substr(status.size()));
+  std::vector<std::string> answers;
+  for (const auto& text : {status + line + "\r\n" + fields, status + fields + line + "\r\n"})
+    for (const auto& rest : {"Content-Length: 2\r\n\r\nno"s, "\r\n2\r\nno\r\n0\r\n\r\n"s})
+      answers.push_back(text + rest);
+  return answers;
+}
+
+}  // namespace
+
+Test(request, whose_answer_has_a_blank_or_control_byte_in_a_name_gets_no_answer_of_the_target,
+     .timeout = 240) {
+  agent_pair fleet;
+  for (const auto& line : odd_lines) {
+    for (const auto& answer : answers_with(line)) {
+      for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer}) {
+        for (const bool trickles : {false, true}) {
+          const auto got = fleet.ask(agent, {answer, ending::close, {}, 0, trickles});
+          expect_truthful_failure(got, line);
+          expect_true(got.whole, line + ": " + got.describe());
+          expect_false(got.has("Odd"), line + ": " + got.describe());
+        }
+      }
+    }
+  }
+}
--- a/tests/broken_answers/scripted_target.h
+++ b/tests/broken_answers/scripted_target.h
@@ -36,6 +36,7 @@
   ending end = ending::keep;
   duration pause{};             ///< Between the answer and the end.
   std::size_t reads_first = 0;  ///< Bytes of the request's body that it reads before it answers.
+  bool trickles = false;        ///< Sends byte by byte.
 };
 
 /// Reads the head of each request, and answers by its script. Thread safety: none.
@@ -90,13 +91,24 @@
     std::string bytes = answer.bytes;
     if (const auto id = bytes.find("ID"); id != std::string::npos)
       bytes.replace(id, 2, field_of(head, "X-Request-Id"));
-    co_await boost::asio::async_write(
-        connection, boost::asio::buffer(bytes),
-        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    co_await send(connection, bytes, answer.trickles ? 1 : bytes.size());
     boost::asio::steady_timer timer(context_, answer.pause);
     co_await timer.async_wait(boost::asio::use_awaitable);
     co_await finish(std::move(connection), answer.end);
   }
+  boost::asio::awaitable<void> send(socket& connection, std::string_view bytes, std::size_t piece) {
+    boost::system::error_code error;
+    connection.set_option(boost::asio::ip::tcp::no_delay(true), error);
+    boost::asio::steady_timer timer(context_);
+    while (!bytes.empty() && !error) {
+      co_await boost::asio::async_write(
+          connection, boost::asio::buffer(bytes.substr(0, piece)),
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      bytes.remove_prefix(std::min(piece, bytes.size()));
+      timer.expires_after(std::chrono::microseconds{50});
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+  }
   boost::asio::awaitable<void> finish(socket connection, ending end) {
     boost::system::error_code error;
     if (end == ending::reset)
