Test: answers with status 000 reach no caller of a fleet agent

It holds: an answer below 200 counts as an interim one and is skipped. Seen, and left as the issue asks: after some of these answers the caller waits for its 504 until the deadline. No product code changed.

--- a/tests/broken_answers/fleet_agent_test.cpp
+++ b/tests/broken_answers/fleet_agent_test.cpp
@@ -165,3 +165,31 @@
     }
   }
 }
+
+namespace {
+
+/// Returns answers with status 000 and each framing; the last holds a sound answer as its body.
+std::vector<std::string> answers_with_status_000() {
+  const std::string start =
+      "HTTP/1.1 000 Trouble\r\nX-Request-Id: ID\r\nX-Response-Signature: s\r\n";
+  const std::string inner =
+      "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nno";
+  return {start + "Content-Length: 2\r\n\r\nno", start + "\r\nno",
+          start + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", start + "\r\n" + inner,
+          start + "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner};
+}
+
+}  // namespace
+
+Test(request, whose_answer_bears_status_000_gets_no_answer_of_the_target, .timeout = 240) {
+  agent_pair fleet;
+  fleet.deadline = milliseconds{500};  // Some of these answers are waited for until then.
+  for (const auto& answer : answers_with_status_000()) {
+    for (const auto end : {ending::close, ending::reset, ending::half_close, ending::keep}) {
+      for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer}) {
+        expect_truthful_failure(fleet.ask(agent, {answer, end}), answer);
+        expect_truthful_failure(fleet.ask(agent, {answer, end}, route::write, long_upload), answer);
+      }
+    }
+  }
+}
