Own interface: what follows an answer with status 000 is not taken for the answer

Callers saw: an upstream answered with status 000; bytes of that answer's body that read like an answer reached the caller of masticshunt agent as a 200, outcome served.

Cause: the reader takes each status below 200 for an interim answer, which has no body, and reads the next head right after it. 000 is no status (RFC 9110, section 15), and its answer may have a body.

Change: an answer with a status below 100 is no answer; the connection is given up and the outcome is unknown.

--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -25,6 +25,8 @@
 constexpr auto awaitable_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t header_bytes_max = 64 * 1024;
 constexpr std::size_t refusal_bytes_max = 16 * 1024;
+constexpr unsigned first_status = 100;
+constexpr unsigned first_final_status = 200;
 constexpr std::chrono::seconds body_progress_timeout{30};
 
 bool is_need_buffer(const boost::system::error_code& error) {
@@ -260,9 +262,11 @@
         state.connection->socket, state.connection->buffer, *state.parser, awaitable_result);
     if (error) co_return false;
     const auto status = state.parser->get().result_int();
+    // What follows such a head can't be told from its body.
+    if (status < first_status) co_return false;
     // The truncation of a response without length or chunked encoding cannot be detected, so such a
     // response is not forwarded.
-    if (status >= 200) co_return !state.parser->need_eof() || is_head;
+    if (status >= first_final_status) co_return !state.parser->need_eof() || is_head;
   }
 }
 
--- a/tests/broken_answers/scripted_target.h
+++ b/tests/broken_answers/scripted_target.h
@@ -61,6 +61,8 @@
 
  private:
   using socket = boost::asio::ip::tcp::socket;
+  inline static const scripted_answer healthy{
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", ending::close};
 
   static std::string field_of(const std::string& head, const std::string& name) {
     const auto start = head.find("\r\n" + name + ": ");
@@ -69,6 +71,8 @@
     return head.substr(value, head.find("\r\n", value) - value);
   }
 
+  static bool is_health_check(const std::string& head) { return head.starts_with("GET /health"); }
+
   boost::asio::awaitable<void> accept() {
     for (;;) {
       auto accepted = co_await acceptor_.async_accept(boost::asio::use_awaitable);
@@ -85,7 +89,7 @@
     const std::string head = received.substr(0, head_bytes);
     heads_.push_back(head);
     std::size_t body_bytes = received.size() - head_bytes;
-    const scripted_answer answer = answer_;
+    const scripted_answer answer = is_health_check(head) ? healthy : answer_;
     while (!error && body_bytes < answer.reads_first)
       body_bytes += co_await read_some(connection, error);
     std::string bytes = answer.bytes;
