Own interface: an answer with a line that begins with a blank is no answer

Callers saw: masticshunt agent passed such a line on, joined to the value before it (A: b X-Odd: 1).

Cause: as in the fleet agent, the parser joins the line to the value before it and nobody looks at the bytes.

Change: the head is read by a loop that looks at the bytes before the parser does, with the same check.

Evidence: eight lines with blanks and control bytes, at once and byte by byte, at the owner and at another agent.

--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -12,6 +12,7 @@
 #include "masticshunt/caller/refusal.h"
 #include "masticshunt/caller/request_rules.h"
 #include "masticshunt/support/clock.h"
+#include "masticshunt/support/http_head.h"
 
 namespace masticshunt::agent {
 
@@ -25,6 +26,7 @@
 constexpr auto awaitable_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t header_bytes_max = 64 * 1024;
 constexpr std::size_t refusal_bytes_max = 16 * 1024;
+constexpr std::size_t read_bytes = 16 * 1024;
 constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
 constexpr std::chrono::seconds body_progress_timeout{30};
@@ -37,6 +39,11 @@
   return {text.data(), text.size()};
 }
 
+std::string_view text_of(const boost::beast::flat_buffer& buffer) {
+  const auto bytes = buffer.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 /// Watches the caller's connection while the exchange waits for a response. A disconnect of the
 /// caller closes the connection to the peer and so ends the exchange.
 class caller_watch {
@@ -137,6 +144,25 @@
   return response;
 }
 
+/// Reads the header of a response. Returns false if the connection ended before, or if the bytes
+/// are no header.
+asio::awaitable<bool> read_header(http_connection& connection, response_parser& parser) {
+  auto& buffer = connection.buffer;
+  for (;;) {
+    if (buffer.size() > 0) {
+      if (support::has_folded_line(text_of(buffer))) co_return false;
+      boost::system::error_code error;
+      buffer.consume(parser.put(buffer.data(), error));
+      if (parser.is_header_done()) co_return !error;
+      if (error != http::error::need_more) co_return false;
+    }
+    auto [error, read] =
+        co_await connection.socket.async_read_some(buffer.prepare(read_bytes), awaitable_result);
+    if (error) co_return false;
+    buffer.commit(read);
+  }
+}
+
 }  // namespace
 
 struct http_exchange::exchange_state {
@@ -258,9 +284,8 @@
     state.parser->header_limit(header_bytes_max);
     state.parser->body_limit(boost::none);
     state.parser->skip(is_head);
-    auto [error, read] = co_await http::async_read_header(
-        state.connection->socket, state.connection->buffer, *state.parser, awaitable_result);
-    if (error) co_return false;
+    const bool received = co_await read_header(*state.connection, *state.parser);
+    if (!received) co_return false;
     const auto status = state.parser->get().result_int();
     // What follows such a head can't be told from its body.
     if (status < first_status) co_return false;
--- a/tests/blackbox/broken_answer_test.cpp
+++ b/tests/blackbox/broken_answer_test.cpp
@@ -146,3 +146,19 @@
   expect_refused(deployment,
                  start + "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner);
 }
+
+Test(broken_answer, with_a_blank_or_control_byte_in_a_name_is_not_passed_on, .timeout = 240) {
+  scripted_deployment deployment;
+  using namespace std::string_literals;
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const auto& line : {"X Odd: 1"s, "X-Odd : 1"s, " X-Odd: 1"s, "\tX-Odd: 1"s, "X\001Odd: 1"s,
+                           "X\000Odd: 1"s, "Content-Length : 1"s, " Content-Length: 1"s}) {
+    for (const bool trickles : {false, true}) {
+      for (const std::size_t agent : {0, 1}) {
+        const auto text = status + "A: b\r\n" + line + "\r\nContent-Length: 2\r\n\r\nno";
+        const auto got = deployment.ask(agent, {text, ending::close, {}, 0, trickles});
+        expect_truthful_failure(got, line);
+      }
+    }
+  }
+}
