Load tool: an answer whose connection was reset during an upload is not whole

Callers saw: nothing; the load tool counted a broken answer as a whole one, and then as an invalid answer instead of a truncated one.

The write of the upload takes the error of the reset; the read of the answer, which has no length, then ends as usual.

Change: an answer that ends with its connection is complete only if the peer ended in order.

--- a/src/bench/http_exchange.cpp
+++ b/src/bench/http_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "masticshunt/support/socket_options.h"
 #include "upstream/internal/stand_in_hash.h"
 
 namespace masticshunt::bench {
@@ -113,7 +114,8 @@
     answer.text.append(block.data(), std::min(size, text_limit_bytes - answer.text.size()));
   }
   answer.body_hash = hash.digest();
-  answer.complete = true;
+  answer.complete = !parser.need_eof() ||
+                    support::peer_ended_in_order(connection.stream.socket().native_handle());
   answer.keep_alive = parser.keep_alive();
 }
 
