Load tool: an answer with status 000 is none

Callers saw: nothing; the load tool believed what the head of such an answer says, even that a request had not run.

Cause: the reader takes each number for a status.

Change: an answer below 100 counts as truncated, so nothing is known of its request. The number stands once, in support/http_head.h, for the agent of the own interface too.

Evidence: tests/bench/http_exchange_test.cpp; before, a 000 with outcome not-run counted as not run; after, as truncated.

--- a/include/masticshunt/support/http_head.h
+++ b/include/masticshunt/support/http_head.h
@@ -6,6 +6,9 @@
 
 namespace masticshunt::support {
 
+/// The lowest status code. An answer with a lower number is none (RFC 9110, section 15).
+inline constexpr unsigned first_status = 100;
+
 /// Returns true if a line of a head begins with a blank, so that the parser would join it to the
 /// value of the line before it. A proxy must not pass such a line on (RFC 9112, section 5.2).
 ///
--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -27,7 +27,6 @@
 constexpr std::uint32_t header_bytes_max = 64 * 1024;
 constexpr std::size_t refusal_bytes_max = 16 * 1024;
 constexpr std::size_t read_bytes = 16 * 1024;
-constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
 constexpr std::chrono::seconds body_progress_timeout{30};
 
@@ -288,7 +287,7 @@
     if (!received) co_return false;
     const auto status = state.parser->get().result_int();
     // What follows such a head can't be told from its body.
-    if (status < first_status) co_return false;
+    if (status < support::first_status) co_return false;
     // The truncation of a response without length or chunked encoding cannot be detected, so such a
     // response is not forwarded.
     if (status >= first_final_status) co_return !state.parser->need_eof() || is_head;
--- a/src/bench/http_exchange.cpp
+++ b/src/bench/http_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "masticshunt/support/http_head.h"
 #include "masticshunt/support/socket_options.h"
 #include "upstream/internal/stand_in_hash.h"
 
@@ -97,7 +98,7 @@
   auto [header_error, header_count] =
       co_await http::async_read_header(connection.stream, connection.buffer, parser, as_result);
   answer.timed_out = header_error == boost::beast::error::timeout;
-  if (header_error) co_return;
+  if (header_error || parser.get().result_int() < support::first_status) co_return;
   copy_header(parser.get(), answer);
   body_hash hash;
   std::vector<char> block(block_bytes);
--- a/tests/bench/http_exchange_test.cpp
+++ b/tests/bench/http_exchange_test.cpp
@@ -57,3 +57,21 @@
   expect_true(received.complete);
   expect_equal(received.text, "all of it");
 }
+
+Test(load_tool, counts_an_answer_with_status_000_as_truncated) {
+  const auto received = answer_of(
+      {"HTTP/1.1 000 Trouble\r\nMasticshunt-Outcome: not-run\r\nContent-Length: 2\r\n\r\n{}"}, 0);
+  std::string reason;
+  expect_equal(classify_answer({}, received, reason), attempt_outcome::truncated, reason);
+}
+
+Test(load_tool, counts_an_answer_with_a_broken_name_as_truncated) {
+  for (const auto* line : {"X Odd: 1", "X-Odd : 1", "X\001Odd: 1", "Content-Length : 2"}) {
+    const auto received =
+        answer_of({"HTTP/1.1 200 OK\r\n" + std::string(line) +
+                   "\r\nMasticshunt-Outcome: not-run\r\nContent-Length: 2\r\n\r\n{}"},
+                  0);
+    std::string reason;
+    expect_equal(classify_answer({}, received, reason), attempt_outcome::truncated, line);
+  }
+}
