--- a/include/masticshunt/support/http_head.h
+++ b/include/masticshunt/support/http_head.h
@@ -2,7 +2,7 @@
 /// Checks of the heads of HTTP/1.1 messages that the parser leaves to its user.
 #pragma once
 
-#include <string_view>
+#include <boost/asio/buffer.hpp>
 
 namespace masticshunt::support {
 
@@ -14,6 +14,6 @@
 ///
 /// `received` is what the parser has not taken yet of a head that it has not read to the end, with
 /// what follows the head.
-[[nodiscard]] bool has_folded_line(std::string_view received);
+[[nodiscard]] bool has_folded_line(boost::asio::const_buffer received);
 
 }  // namespace masticshunt::support
--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -38,11 +38,6 @@
   return {text.data(), text.size()};
 }
 
-std::string_view text_of(const boost::beast::flat_buffer& buffer) {
-  const auto bytes = buffer.data();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
 /// Watches the caller's connection while the exchange waits for a response. A disconnect of the
 /// caller closes the connection to the peer and so ends the exchange.
 class caller_watch {
@@ -149,7 +144,7 @@
   auto& buffer = connection.buffer;
   for (;;) {
     if (buffer.size() > 0) {
-      if (support::has_folded_line(text_of(buffer))) co_return false;
+      if (support::has_folded_line(buffer.data())) co_return false;
       boost::system::error_code error;
       buffer.consume(parser.put(buffer.data(), error));
       if (parser.is_header_done()) co_return !error;
--- a/src/fleet/internal/answer_reader.cpp
+++ b/src/fleet/internal/answer_reader.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <string_view>
 #include <utility>
 
 #include "masticshunt/support/clock.h"
@@ -20,11 +19,6 @@
 constexpr std::size_t read_bytes = 16 * 1024;
 constexpr std::uint64_t answer_bytes_max = std::uint64_t{1} << 32U;
 
-std::string_view text_of(const boost::beast::flat_buffer& buffer) {
-  const auto bytes = buffer.data();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
 }  // namespace
 
 answer_reader::answer_reader(connection_ptr connection, bool headers_only, std::size_t body_max)
@@ -61,7 +55,7 @@
     parser_.put_eof(error);
     co_return !error;
   }
-  if (!head_done() && support::has_folded_line(text_of(buffer))) {
+  if (!head_done() && support::has_folded_line(buffer.data())) {
     error = http::error::bad_field;
     co_return false;
   }
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -108,10 +108,11 @@
   parser.body_limit(response_bytes_max);
   auto [read_error, read_bytes] =
       co_await http::async_read(acquired->stream, acquired->buffer, parser, tuple_awaitable);
-  const unsigned status = parser.get().result_int();
-  if (!read_error && status < support::first_status)
+  if (!read_error) {
+    const unsigned status = parser.get().result_int();
+    if (status >= support::first_status) co_return exchange_result{parser.release(), true, {}};
     co_return exchange_result{std::nullopt, true, "receive: status " + std::to_string(status)};
-  if (!read_error) co_return exchange_result{parser.release(), true, {}};
+  }
   if (read_error == beast::error::timeout) idle_.clear();
   co_return exchange_result{std::nullopt, true, "receive: " + read_error.message()};
 }
