Tests: an agent's process ends with the test that started it

Cause: a failed assertion leaves the test without destructors, so its agents stayed. Change: the new process asks the kernel to be ended with its parent before it becomes the agent. Product code unchanged.

--- a/tests/process_soak/agents.h
+++ b/tests/process_soak/agents.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -60,15 +62,10 @@
     std::string subcommand = "fleet-agent";
     std::string option = "--config=" + config_file;
     char* arguments[] = {program_.data(), subcommand.data(), option.data(), nullptr};
-    posix_spawn_file_actions_t redirects;
-    posix_spawn_file_actions_init(&redirects);
-    posix_spawn_file_actions_addopen(&redirects, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&redirects, STDOUT_FILENO, STDERR_FILENO);
-    posix_spawn_file_actions_addclosefrom_np(&redirects, STDERR_FILENO + 1);
-    if (posix_spawn(&process_, program_.c_str(), &redirects, nullptr, arguments, environ) != 0)
-      process_ = 0;
-    posix_spawn_file_actions_destroy(&redirects);
+    const pid_t tester = ::getpid();
+    process_ = ::fork();
+    if (process_ == 0) become_agent(arguments, log.c_str(), tester);
+    process_ = std::max(process_, 0);
   }
   void signal(int number) const {
     if (process_ > 0) ::kill(process_, number);
@@ -94,6 +91,19 @@
   [[nodiscard]] pid_t process() const { return process_; }
 
  private:
+  /// Runs the program in this new process. It ends with the tester, in whichever way that ends: an
+  /// agent that stayed would take the requests of a later test at the same address.
+  [[noreturn]] static void become_agent(char* const* arguments, const char* log, pid_t tester) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != tester) ::_exit(EXIT_FAILURE);
+    const int output = ::open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execve(arguments[0], arguments, environ);
+    ::_exit(EXIT_FAILURE);
+  }
+
   [[nodiscard]] std::filesystem::path config_path() const {
     return directory_ / (config_.name + ".ini");
   }
