Trailers of an answer are not fields of its head

Callers saw: a fleet agent passed the trailers of a short answer in chunks on as fields of its head (X-Odd: 1). It also read them itself: signature, X-Not-Executed and Content-Encoding count in a trailer.

Cause: the parser adds trailers to the fields of the head, and a short answer is read to its end before its head is looked at. RFC 9110, section 6.5.1: trailers are not to be merged into the head.

Change: the parser stops after the head, which of an answer in chunks is kept apart before it reads on. So the trailers are read, checked for their names, and dropped, as those of long answers always were.

Evidence: broken_answers_test. With it tests that hold as the code was: answers cut with a length, in chunks, with neither and empty, short and of 700 KiB, reset before, during and after the upload (96 plays); pooled connections, reset or with a stray answer behind the first (96 and 24).

--- a/src/fleet/internal/answer_reader.cpp
+++ b/src/fleet/internal/answer_reader.cpp
@@ -23,7 +23,6 @@
 
 answer_reader::answer_reader(connection_ptr connection, bool headers_only, std::size_t body_max)
     : connection_(std::move(connection)) {
-  parser_.eager(true);
   parser_.header_limit(part_bytes_max);
   parser_.body_limit(answer_bytes_max);
   parser_.skip(headers_only);
@@ -55,17 +54,24 @@
     parser_.put_eof(error);
     co_return !error;
   }
-  if (!head_done() && support::has_folded_line(buffer.data())) {
+  const bool in_head = !head_done();
+  if (in_head && support::has_folded_line(buffer.data())) {
     error = http::error::bad_field;
     co_return false;
   }
   buffer.consume(parser_.put(buffer.data(), error));
+  if (in_head && head_done()) keep_head();
   needs_more_ = error == http::error::need_more;
   if (needs_more_) error = {};
   if (needs_more_ && buffer.size() > part_bytes_max) error = http::error::buffer_overflow;
   co_return !error;
 }
 
+void answer_reader::keep_head() {
+  if (parser_.chunked()) head_without_trailers_ = parser_.get().base();
+  parser_.eager(true);
+}
+
 asio::awaitable<bool> answer_reader::skip(error_code& error) {
   while (!done()) {
     const bool received = co_await read_some(error);
--- a/src/fleet/internal/answer_reader.h
+++ b/src/fleet/internal/answer_reader.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include "fleet/internal/body_pipe.h"
 #include "fleet/internal/connection_pool.h"
@@ -38,13 +39,21 @@
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool keep_alive() const { return parser_.keep_alive(); }
   [[nodiscard]] unsigned status() const { return parser_.get().result_int(); }
-  [[nodiscard]] const answer_head& head() const { return parser_.get().base(); }
+  /// Returns the head, without the trailers: these are not to be taken for its fields (RFC 9110,
+  /// section 6.5.1).
+  [[nodiscard]] const answer_head& head() const {
+    return head_without_trailers_ ? *head_without_trailers_ : parser_.get().base();
+  }
   /// Returns the body; of an answer without one it is never complete.
   [[nodiscard]] const std::shared_ptr<body_pipe>& body() const { return parser_.get().body(); }
 
  private:
+  /// Keeps the head apart before the parser adds trailers to it, and lets it read on.
+  void keep_head();
+
   connection_ptr connection_;
   boost::beast::http::response_parser<pipe_body> parser_;
+  std::optional<answer_head> head_without_trailers_;  ///< Of an answer in chunks.
   bool needs_more_ = false;  ///< The bytes that are buffered are only the start of a part.
 };
 
--- a/tests/broken_answers/agent_pair.h
+++ b/tests/broken_answers/agent_pair.h
@@ -53,6 +53,8 @@
   agent_pair(const agent_pair&) = delete;
   agent_pair& operator=(const agent_pair&) = delete;
 
+  [[nodiscard]] const scripted_target& target() const { return target_; }
+
   /// Sends a request at `agent` while the target answers with `answer`. Returns what the caller
   /// got.
   caller_answer ask(std::size_t agent, scripted_answer answer, route to = route::read,
--- a/tests/broken_answers/fleet_agent_test.cpp
+++ b/tests/broken_answers/fleet_agent_test.cpp
@@ -34,7 +34,7 @@
 void expect_truthful_failure(const caller_answer& got, std::string_view context = {}) {
   constexpr unsigned bad_gateway = 502;
   constexpr unsigned gateway_timeout = 504;
-  if (!got.whole) return;
+  if (!got.whole) return expect_equal(got.status, 200U, "a cut without a head: " + got.describe());
   expect_true(got.status == bad_gateway || got.status == gateway_timeout,
               std::string(context) + " " + got.describe());
   expect_false(got.has("X-Response-Signature"), got.describe());
@@ -193,3 +193,90 @@
     }
   }
 }
+
+namespace {
+
+/// Answers of which a part is missing, with a length, in chunks and without either.
+std::vector<std::string> parts_of_answers(std::size_t bytes) {
+  const std::string start(head);
+  const std::string part(bytes, 'p');
+  char size[16]{};
+  std::snprintf(size, sizeof size, "%zx", bytes);
+  return {start + "Content-Length: " + std::to_string(bytes + 1) + "\r\n\r\n" + part,
+          start + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + part + "\r\n",
+          start + "\r\n" + part, ""};
+}
+
+}  // namespace
+
+Test(upload, whose_answer_is_cut_in_any_framing_at_any_moment_gets_no_whole_answer,
+     .timeout = 240) {
+  constexpr std::size_t bytes = 16 * 1024 * 1024;
+  agent_pair fleet;
+  for (const std::size_t part : {std::size_t{7}, large_part})
+    for (const auto& answer : parts_of_answers(part))
+      for (const std::size_t read_first : {std::size_t{0}, bytes / 4, bytes})
+        for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer})
+          for (const auto pause : {0, 30})
+            expect_truthful_failure(
+                fleet.ask(agent, {answer, ending::reset, milliseconds{pause}, read_first},
+                          route::write, bytes),
+                answer.substr(0, 120));
+}
+
+namespace {
+
+/// A whole answer after which the target serves the next request on its connection.
+const scripted_answer kept{std::string(head) + "Content-Length: 2\r\n\r\nok", ending::serve_next};
+
+}  // namespace
+
+Test(upload, on_a_pooled_connection_that_is_reset_gets_no_whole_answer, .timeout = 240) {
+  agent_pair fleet;
+  std::size_t reused = 0;
+  at_each_agent_and_moment([&](std::size_t agent, duration pause) {
+    for (const auto& answer : parts_of_answers(7)) {
+      expect_equal(fleet.ask(agent, kept).body, "ok");
+      const auto before = fleet.target().connections();
+      expect_truthful_failure(
+          fleet.ask(agent, {answer, ending::reset, pause}, route::write, long_upload), answer);
+      if (fleet.target().connections() == before) ++reused;
+    }
+  });
+  expect_true(reused > 0, "no connection was used again");
+}
+
+Test(request, after_an_answer_with_bytes_behind_it_does_not_get_these, .timeout = 240) {
+  agent_pair fleet;
+  const std::string stray = std::string(head.substr(0, head.find("X-Request-Id"))) +
+                            "X-Request-Id: other\r\nX-Response-Signature: s\r\nContent-Length: 5"
+                            "\r\n\r\nstray";
+  at_each_agent_and_moment([&](std::size_t agent, duration pause) {
+    expect_equal(fleet.ask(agent, {kept.bytes + stray, ending::serve_next, pause}).body, "ok");
+    expect_equal(fleet.ask(agent, kept).body, "ok");
+  });
+}
+
+Test(request, whose_answer_has_trailers_gets_none_of_them_in_the_head, .timeout = 240) {
+  agent_pair fleet;
+  const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  const auto unsigned_head = std::string(head.substr(0, head.find("X-Response-Signature")));
+  for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer}) {
+    for (const bool trickles : {false, true}) {
+      const auto ask = [&](const std::string& start, const std::string& trailers, route to) {
+        return fleet.ask(agent,
+                         {start + chunks + trailers + "\r\n", ending::close, {}, 0, trickles}, to);
+      };
+      const auto got = ask(std::string(head), "X-Odd: 1\r\n", route::read);
+      expect_true(got.whole && got.body == "ok" && !got.has("Odd"), got.describe());
+      // Neither a signature nor a promise is one in a trailer.
+      expect_truthful_failure(ask(unsigned_head, "X-Response-Signature: s\r\n", route::read));
+      const auto promise = ask(std::string(head), "X-Not-Executed: 1\r\n", route::write);
+      expect_true(promise.whole && promise.status == 200, promise.describe());
+      for (const auto* line : {"X Odd: 1", "X-Odd : 1", "X\001Odd: 1", " X-Odd: 1"}) {
+        const auto broken = ask(std::string(head), std::string(line) + "\r\n", route::read);
+        expect_truthful_failure(broken, line);
+      }
+    }
+  }
+}
--- a/tests/broken_answers/scripted_target.h
+++ b/tests/broken_answers/scripted_target.h
@@ -27,7 +27,8 @@
   reset,       ///< Resets it.
   half_close,  ///< Ends its own side, and reads on.
   close,       ///< Closes it with what was not read, which resets it if there is any.
-  keep         ///< Keeps it, and reads on.
+  keep,        ///< Keeps it, and reads on.
+  serve_next   ///< Keeps it, and answers the next request on it.
 };
 
 /// The answer to each request; `ID` in `bytes` stands for the id of the request.
@@ -59,6 +60,9 @@
         heads_, [part](const std::string& each) { return each.find(part) != each.npos; }));
   }
 
+  /// Returns how many connections have been opened to it.
+  [[nodiscard]] std::size_t connections() const { return connections_; }
+
  private:
   using socket = boost::asio::ip::tcp::socket;
   inline static const scripted_answer healthy{
@@ -80,12 +84,18 @@
     }
   }
   boost::asio::awaitable<void> serve(socket connection) {
+    ++connections_;
+    auto end = ending::serve_next;
+    while (end == ending::serve_next) end = co_await serve_one(connection);
+    co_await finish(std::move(connection), end);
+  }
+  boost::asio::awaitable<ending> serve_one(socket& connection) {
     boost::system::error_code error;
     std::string received;
     const auto head_bytes = co_await boost::asio::async_read_until(
         connection, boost::asio::dynamic_buffer(received), "\r\n\r\n",
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    if (error) co_return;
+    if (error) co_return ending::close;
     const std::string head = received.substr(0, head_bytes);
     heads_.push_back(head);
     std::size_t body_bytes = received.size() - head_bytes;
@@ -98,7 +108,7 @@
     co_await send(connection, bytes, answer.trickles ? 1 : bytes.size());
     boost::asio::steady_timer timer(context_, answer.pause);
     co_await timer.async_wait(boost::asio::use_awaitable);
-    co_await finish(std::move(connection), answer.end);
+    co_return answer.end;
   }
   boost::asio::awaitable<void> send(socket& connection, std::string_view bytes, std::size_t piece) {
     boost::system::error_code error;
@@ -133,6 +143,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   scripted_answer answer_;
   std::vector<std::string> heads_;
+  std::size_t connections_ = 0;
 };
 
 }  // namespace masticshunt::testing
