Only interim answers are followed by another one

Callers saw: after a 101 that nobody had asked for, both kinds of agents passed on what the target sent next as its answer; after some answers with status 000, callers of a fleet agent waited for their 504 to the deadline.

Cause: each status below 200 counted as an interim answer. After 101 comes no HTTP, and 000 is no status.

Change: only 100 and 102 to 199 are interim, by one rule for both kinds of agents; other answers below 200 are no answers, and the request's outcome is unknown at once.

Evidence: broken_answers_test and blackbox_test.

--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -281,11 +281,12 @@
     const bool received = co_await read_header(*state.connection, *state.parser);
     if (!received) co_return false;
     const auto status = state.parser->get().result_int();
+    if (support::is_interim(status)) continue;
     // What follows such a head can't be told from its body.
-    if (status < support::first_status) co_return false;
+    if (status < first_final_status) co_return false;
     // The truncation of a response without length or chunked encoding cannot be detected, so such a
     // response is not forwarded.
-    if (status >= first_final_status) co_return !state.parser->need_eof() || is_head;
+    co_return !state.parser->need_eof() || is_head;
   }
 }
 
--- a/src/fleet/internal/http_client.cpp
+++ b/src/fleet/internal/http_client.cpp
@@ -11,6 +11,7 @@
 #include "fleet/internal/answer_reader.h"
 #include "fleet/internal/spawn.h"
 #include "masticshunt/support/clock.h"
+#include "masticshunt/support/http_head.h"
 
 namespace masticshunt::fleet {
 
@@ -240,6 +241,11 @@
     answer->body()->count_in(std::move(request.answer_held));
     bool received = true;
     while (received && !answer->head_done()) received = co_await answer->read_some(error);
+    if (received && answer->status() < first_final_status &&
+        !support::is_interim(answer->status())) {
+      fail_with(exchange_result::malformed, "status " + std::to_string(answer->status()));
+      co_return outcome;
+    }
     const auto belongs =
         received ? owner_of(request, answer->status(), answer->head()) : answer_owner::request;
     if (received && belongs == answer_owner::other) {
--- a/tests/blackbox/broken_answer_test.cpp
+++ b/tests/blackbox/broken_answer_test.cpp
@@ -162,3 +162,14 @@
     }
   }
 }
+
+Test(broken_answer, after_101_is_not_passed_on, .timeout = 240) {
+  scripted_deployment deployment;
+  const std::string final_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  expect_refused(deployment, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + final_answer);
+  for (const std::size_t agent : {0, 1}) {
+    const auto got = deployment.ask(
+        agent, {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + final_answer, ending::close});
+    expect_true(got.whole && got.body == "ok", got.describe());
+  }
+}
--- a/tests/broken_answers/agent_pair.h
+++ b/tests/broken_answers/agent_pair.h
@@ -29,9 +29,6 @@
   static constexpr std::size_t through_peer = 0;   ///< The agent without a target.
   static constexpr std::size_t beside_target = 1;  ///< The agent beside the target.
 
-  /// Of each request.
-  std::chrono::milliseconds deadline{3'000};
-
   agent_pair()
       : directory_(std::filesystem::temp_directory_path() / ("broken-" + net_)),
         store_(context_.get_executor(), 1),
@@ -61,12 +58,11 @@
                     std::size_t body_bytes = 0, duration pause = {}) {
     target_.answer_with(std::move(answer));
     const std::string id = "r-" + std::to_string(++last_id_);
-    caller_request request{
-        .head = (to == route::read ? "GET /read/" : "POST /write/") + id +
-                " HTTP/1.1\r\nHost: broken.example\r\nX-Request-Id: " + id +
-                "\r\nX-Request-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n",
-        .body_bytes = body_bytes,
-        .pause = pause};
+    caller_request request{.head = (to == route::read ? "GET /read/" : "POST /write/") + id +
+                                   " HTTP/1.1\r\nHost: broken.example\r\nX-Request-Id: " + id +
+                                   "\r\nX-Request-Deadline-Ms: 3000\r\n",
+                           .body_bytes = body_bytes,
+                           .pause = pause};
     std::optional<caller_answer> result;
     boost::asio::co_spawn(
         context_, client_.ask(agents_.at(agent)->config().callers(), std::move(request)),
--- a/tests/broken_answers/fleet_agent_test.cpp
+++ b/tests/broken_answers/fleet_agent_test.cpp
@@ -183,12 +183,14 @@
 
 Test(request, whose_answer_bears_status_000_gets_no_answer_of_the_target, .timeout = 240) {
   agent_pair fleet;
-  fleet.deadline = milliseconds{500};  // Some of these answers are waited for until then.
   for (const auto& answer : answers_with_status_000()) {
     for (const auto end : {ending::close, ending::reset, ending::half_close, ending::keep}) {
       for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer}) {
-        expect_truthful_failure(fleet.ask(agent, {answer, end}), answer);
-        expect_truthful_failure(fleet.ask(agent, {answer, end}, route::write, long_upload), answer);
+        for (const auto& got : {fleet.ask(agent, {answer, end}),
+                                fleet.ask(agent, {answer, end}, route::write, long_upload)}) {
+          expect_truthful_failure(got, answer);
+          expect_equal(got.status, 502U, "not at once: " + got.describe());
+        }
       }
     }
   }
@@ -280,3 +282,26 @@
     }
   }
 }
+
+Test(request, whose_answer_begins_with_interim_ones_gets_the_final_one_or_none, .timeout = 240) {
+  agent_pair fleet;
+  const std::string final_answer = std::string(head) + "Content-Length: 2\r\n\r\nok";
+  for (const auto agent : {agent_pair::beside_target, agent_pair::through_peer}) {
+    for (const std::string interim : {"100 Continue\r\n", "103 Early Hints\r\nLink: a\r\n"}) {
+      const auto got =
+          fleet.ask(agent, {"HTTP/1.1 " + interim + "\r\n" + final_answer, ending::close});
+      expect_true(got.whole && got.body == "ok", got.describe());
+      expect_truthful_failure(
+          fleet.ask(agent,
+                    {"HTTP/1.1 " + interim + " X-Odd: 1\r\n\r\n" + final_answer, ending::close}),
+          "a broken name in an interim answer");
+    }
+    // What follows 101 is no HTTP, and no agent asks for another protocol.
+    expect_truthful_failure(
+        fleet.ask(agent, {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade"
+                          "\r\n\r\n" +
+                              final_answer,
+                          ending::close}),
+        "101");
+  }
+}
