Store client: a trailer states no version

Callers saw: a write counted as done at a version that only a trailer of the store's answer named.

Cause: the parser adds trailers to the fields of the head; the version was read after them.

Change: the head is kept as it was before the body was read.

--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <tuple>
 
 #include "masticshunt/support/clock.h"
 #include "masticshunt/support/http_head.h"
@@ -106,12 +107,21 @@
   if (write_error) co_return exchange_result{std::nullopt, true, "send: " + write_error.message()};
   http::response_parser<http::string_body> parser;
   parser.body_limit(response_bytes_max);
-  auto [read_error, read_bytes] =
-      co_await http::async_read(acquired->stream, acquired->buffer, parser, tuple_awaitable);
+  auto [read_error, header_bytes] =
+      co_await http::async_read_header(acquired->stream, acquired->buffer, parser, tuple_awaitable);
+  // The parser adds trailers to the fields of the head.
+  const auto head = parser.get().base();
   if (!read_error) {
-    const unsigned status = parser.get().result_int();
-    if (status >= support::first_status) co_return exchange_result{parser.release(), true, {}};
-    co_return exchange_result{std::nullopt, true, "receive: status " + std::to_string(status)};
+    std::tie(read_error, header_bytes) =
+        co_await http::async_read(acquired->stream, acquired->buffer, parser, tuple_awaitable);
+  }
+  if (!read_error) {
+    if (head.result_int() < support::first_status)
+      co_return exchange_result{std::nullopt, true,
+                                "receive: status " + std::to_string(head.result_int())};
+    auto response = parser.release();
+    response.base() = head;
+    co_return exchange_result{std::move(response), true, {}};
   }
   if (read_error == beast::error::timeout) idle_.clear();
   co_return exchange_result{std::nullopt, true, "receive: " + read_error.message()};
--- a/tests/operator/broken_answer_test.cpp
+++ b/tests/operator/broken_answer_test.cpp
@@ -68,3 +68,9 @@
     expect_equal(reason.kind, failure_kind::unavailable, line);
   }
 }
+
+Test(store_write, takes_no_version_from_a_trailer) {
+  const auto reason = write_answered_with(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nETag: \"1\"\r\n\r\n");
+  expect_equal(reason.kind, failure_kind::bad_input, reason.describe());
+}
