Test: broken agents, and broken answers of any framing in the own interface

No product code changed. Evidence: a scripted peer in place of an agent, with and without a promise that the request has not run, with and without 100 Continue, cut in any framing, 000, broken names: 502, or a cut after a head. Own interface: answers cut with a length, in chunks, with neither and empty, short and of 700 KiB, reset before, during and after the upload (144 plays), and trailers: held on too. A cut is now accepted there only after a head, as for the fleet agent.

--- a/tests/blackbox/broken_answer_test.cpp
+++ b/tests/blackbox/broken_answer_test.cpp
@@ -2,6 +2,7 @@
 // interface pass none of it on, beside the upstream and at another agent.
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 
 #include "blackbox/blackbox.h"
 #include "broken_answers/framing_client.h"
@@ -46,6 +47,11 @@
     return *result;
   }
 
+  void run_for(duration span) {
+    context_.restart();
+    context_.run_for(span);
+  }
+
  private:
   static demo::deployment_plan plan() {
     demo::deployment_plan plan = demo::imhof_plan();
@@ -89,11 +95,6 @@
     }
     expect_equal(served, served_in_sequence, "requests served one after the other");
   }
-  void run_for(duration span) {
-    context_.restart();
-    context_.run_for(span);
-  }
-
   static constexpr int served_in_sequence = 10;
   const endpoint address_ = loopback_net() + "100:7510";
   asio::io_context context_;
@@ -107,7 +108,7 @@
 
 /// Checks that the caller was told that the outcome is unknown, or that its connection ended.
 void expect_truthful_failure(const caller_answer& got, std::string_view context) {
-  if (!got.whole) return;
+  if (!got.whole) return expect_equal(got.status, 200U, "a cut without a head: " + got.describe());
   expect_true(got.has("Masticshunt-Outcome: may-have-run"),
               std::string(context) + " " + got.describe());
   expect_false(got.has("Odd"), got.describe());
@@ -124,14 +125,46 @@
 
 }  // namespace
 
-Test(broken_answer, without_length_that_is_reset_is_not_passed_on, .timeout = 240) {
+Test(broken_answer, that_is_cut_in_any_framing_at_any_moment_is_not_passed_on, .timeout = 240) {
+  constexpr std::size_t bytes = 16 * 1024 * 1024;
+  constexpr std::size_t large_part = 700 * 1024;
   scripted_deployment deployment;
-  for (const auto pause : {0, 3, 30, 150}) {
-    for (const std::size_t agent : {0, 1}) {
-      for (const std::size_t read_first : {0, 3 * 1024 * 1024}) {
-        const scripted_answer answer{"HTTP/1.1 200 OK\r\n\r\npart of", ending::reset,
-                                     milliseconds{pause}, read_first};
-        expect_truthful_failure(deployment.ask(agent, answer, "POST", long_upload), "upload");
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& part : {std::string("part of"), std::string(large_part, 'p')}) {
+    std::ostringstream chunk;
+    chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+    for (const auto& answer :
+         {start + "\r\n" + part, std::string(),
+          start + "Content-Length: " + std::to_string(part.size() + 1) + "\r\n\r\n" + part,
+          start + "Transfer-Encoding: chunked\r\n\r\n" + chunk.str()})
+      for (const std::size_t read_first : {std::size_t{0}, bytes / 4, bytes})
+        for (const std::size_t agent : {0, 1})
+          for (const auto pause : {0, 3, 30})
+            expect_truthful_failure(
+                deployment.ask(agent, {answer, ending::reset, milliseconds{pause}, read_first},
+                               "POST", bytes),
+                answer.substr(0, 100));
+  }
+}
+
+Test(broken_answer, has_no_trailers_in_the_head, .timeout = 240) {
+  scripted_deployment deployment;
+  const std::string chunks =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (const std::size_t agent : {0, 1}) {
+    for (const bool trickles : {false, true}) {
+      const auto got =
+          deployment.ask(agent, {chunks + "X-Odd: 1\r\nMasticshunt-Outcome: not-run\r\n\r\n",
+                                 ending::close,
+                                 {},
+                                 0,
+                                 trickles});
+      expect_true(got.whole && got.body == "ok" && !got.has("Odd") && !got.has("not-run"),
+                  got.describe());
+      for (const auto* line : {"X Odd: 1", "X-Odd : 1", "X\001Odd: 1"}) {
+        const auto broken =
+            deployment.ask(agent, {chunks + line + "\r\n\r\n", ending::close, {}, 0, trickles});
+        expect_truthful_failure(broken, line);
       }
     }
   }
--- a/tests/broken_answers/agent_pair.h
+++ b/tests/broken_answers/agent_pair.h
@@ -51,6 +51,12 @@
   agent_pair& operator=(const agent_pair&) = delete;
 
   [[nodiscard]] const scripted_target& target() const { return target_; }
+  /// Ends the agent beside the target; the target answers in its place from now on.
+  void replace_peer() {
+    const auto& config = agents_.at(beside_target)->config();
+    agents_.at(beside_target)->stop(SIGKILL);
+    target_.listen(config.ip + ":7504");
+  }
 
   /// Sends a request at `agent` while the target answers with `answer`. Returns what the caller
   /// got.
--- a/tests/broken_answers/fleet_agent_test.cpp
+++ b/tests/broken_answers/fleet_agent_test.cpp
@@ -305,3 +305,32 @@
         "101");
   }
 }
+
+Test(agent, that_answers_another_one_with_broken_bytes_is_not_believed, .timeout = 240) {
+  agent_pair fleet;
+  fleet.replace_peer();
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string fields =
+      "Masticshunt-Load: 0 0 8 100 100\r\nX-Request-Id: ID\r\nX-Response-Signature: s\r\n";
+  const std::string promise = "Masticshunt-Refused: not_run overloaded 100 0\r\n";
+  const std::string rest = "Content-Length: 2\r\n\r\nno";
+  const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+  const scripted_answer sound{status + fields + "Connection: close\r\n" + rest, ending::close};
+  expect_equal(fleet.ask(agent_pair::through_peer, sound).body, "no", "a sound answer");
+  for (const auto& said : {fields, fields + promise}) {
+    for (const auto& answer :
+         {status + said + "\r\nno", status + said + "Content-Length: 3\r\n\r\nno",
+          status + said + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n",
+          "HTTP/1.1 000 Trouble\r\n" + said + rest, status + "A: b\r\n X-Odd: 1\r\n" + said + rest,
+          status + said + "X Odd: 1\r\n" + rest, status + said + "X-Odd : 1\r\n" + rest}) {
+      for (const std::string& start : {std::string(), proceed}) {
+        const scripted_answer broken{start + answer, ending::reset, milliseconds{30}};
+        expect_truthful_failure(
+            fleet.ask(agent_pair::through_peer, broken, route::write, long_upload), answer);
+      }
+      expect_truthful_failure(
+          fleet.ask(agent_pair::through_peer, {answer, ending::reset, milliseconds{30}}), answer);
+      expect_equal(fleet.ask(agent_pair::through_peer, sound).body, "no", "a sound answer");
+    }
+  }
+}
--- a/tests/broken_answers/scripted_target.h
+++ b/tests/broken_answers/scripted_target.h
@@ -38,20 +38,24 @@
   duration pause{};             ///< Between the answer and the end.
   std::size_t reads_first = 0;  ///< Bytes of the request's body that it reads before it answers.
   bool trickles = false;        ///< Sends byte by byte.
+  std::string late_bytes;       ///< Sent after the pause.
 };
 
 /// Reads the head of each request, and answers by its script. Thread safety: none.
 class scripted_target {
  public:
-  scripted_target(boost::asio::io_context& context, const endpoint& address)
-      : context_(context), acceptor_(context) {
+  scripted_target(boost::asio::io_context& context, const endpoint& address) : context_(context) {
+    listen(address);
+  }
+  /// Listens at a further address.
+  void listen(const endpoint& address) {
     boost::system::error_code error;
     const auto local = fleet::tcp_endpoint(address, error);
-    acceptor_.open(local.protocol());
-    acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor_.bind(local);
-    acceptor_.listen();
-    boost::asio::co_spawn(context_, accept(), boost::asio::detached);
+    boost::asio::ip::tcp::acceptor acceptor(context_, local.protocol());
+    acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor.bind(local);
+    acceptor.listen();
+    boost::asio::co_spawn(context_, accept(std::move(acceptor)), boost::asio::detached);
   }
   void answer_with(scripted_answer answer) { answer_ = std::move(answer); }
   /// Returns how many requests for a path with `part` have arrived.
@@ -77,9 +81,9 @@
 
   static bool is_health_check(const std::string& head) { return head.starts_with("GET /health"); }
 
-  boost::asio::awaitable<void> accept() {
+  boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor acceptor) {
     for (;;) {
-      auto accepted = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      auto accepted = co_await acceptor.async_accept(boost::asio::use_awaitable);
       boost::asio::co_spawn(context_, serve(std::move(accepted)), boost::asio::detached);
     }
   }
@@ -108,6 +112,7 @@
     co_await send(connection, bytes, answer.trickles ? 1 : bytes.size());
     boost::asio::steady_timer timer(context_, answer.pause);
     co_await timer.async_wait(boost::asio::use_awaitable);
+    if (!answer.late_bytes.empty()) co_await send(connection, answer.late_bytes, bytes.size());
     co_return answer.end;
   }
   boost::asio::awaitable<void> send(socket& connection, std::string_view bytes, std::size_t piece) {
@@ -140,7 +145,6 @@
   }
 
   boost::asio::io_context& context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   scripted_answer answer_;
   std::vector<std::string> heads_;
   std::size_t connections_ = 0;
