Own interface: bytes after an answer are not the next answer

Callers saw: an upstream sent a second answer behind a whole one; the next caller whose request took that pooled connection got it as a 200, outcome served.

Cause: the pool takes a connection back after a complete answer, with the bytes that were read behind it still in its buffer. The pool's own check looks at the socket only.

Change: a connection with bytes behind the answer is not used again. Such bytes belong to no request.

--- a/src/agent/internal/http_exchange.cpp
+++ b/src/agent/internal/http_exchange.cpp
@@ -224,8 +224,10 @@
   if (state->end.result == exchange_result::broken) pool_.drop_idle(plan.target);
   if (plan.on_cancellable) plan.on_cancellable({});
   state->watchdog.disarm();
+  // Bytes after the response belong to no request.
   const bool clean = response_received && sent && state->parser->is_done() &&
-                     state->parser->keep_alive() && state->connection->socket.is_open();
+                     state->parser->keep_alive() && state->connection->socket.is_open() &&
+                     state->connection->buffer.size() == 0;
   if (clean) pool_.release(std::move(state->connection));
   pool_.release_chunk(std::move(state->chunk_holder));
   co_return std::move(state->end);
--- a/tests/blackbox/broken_answer_test.cpp
+++ b/tests/blackbox/broken_answer_test.cpp
@@ -147,6 +147,28 @@
   }
 }
 
+Test(broken_answer, on_a_pooled_connection_is_not_passed_on, .timeout = 240) {
+  scripted_deployment deployment;
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::size_t agent : {0, 1}) {
+    for (const auto pause : {0, 3, 30}) {
+      expect_equal(deployment.ask(agent, {whole, ending::serve_next}).body, "ok");
+      const scripted_answer cut{"HTTP/1.1 200 OK\r\n\r\npart of", ending::reset,
+                                milliseconds{pause}};
+      expect_truthful_failure(deployment.ask(agent, cut, "POST", long_upload), "upload");
+      const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+      for (const auto& answer :
+           {scripted_answer{whole + stray, ending::serve_next, milliseconds{pause}},
+            scripted_answer{whole, ending::serve_next, milliseconds{pause}, 0, false, stray}}) {
+        expect_equal(deployment.ask(agent, answer).body, "ok");
+        deployment.run_for(milliseconds{pause + 20});
+        const auto next = deployment.ask(agent, {whole, ending::serve_next});
+        expect_equal(next.body, "ok", "after a stray answer: " + next.describe());
+      }
+    }
+  }
+}
+
 Test(broken_answer, has_no_trailers_in_the_head, .timeout = 240) {
   scripted_deployment deployment;
   const std::string chunks =
