Load tool: a connection with bytes after the answer is not used again

Callers saw: nothing; the load tool took a stray answer for that of its next request.

Cause: bytes read behind an answer stayed in the buffer of the pooled connection.

Change: such a connection does not count as kept alive.

--- a/src/bench/http_exchange.cpp
+++ b/src/bench/http_exchange.cpp
@@ -117,7 +117,8 @@
   answer.body_hash = hash.digest();
   answer.complete = !parser.need_eof() ||
                     support::peer_ended_in_order(connection.stream.socket().native_handle());
-  answer.keep_alive = parser.keep_alive();
+  // Bytes after the answer belong to no request.
+  answer.keep_alive = parser.keep_alive() && connection.buffer.size() == 0;
 }
 
 /// Returns true if the peer has neither closed the idle connection nor written to it.
--- a/tests/bench/http_exchange_test.cpp
+++ b/tests/bench/http_exchange_test.cpp
@@ -75,3 +75,9 @@
     expect_equal(classify_answer({}, received, reason), attempt_outcome::truncated, line);
   }
 }
+
+Test(load_tool, does_not_reuse_a_connection_with_bytes_after_the_answer) {
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  expect_true(answer_of({whole}, 0).keep_alive);
+  expect_false(answer_of({whole + whole}, 0).keep_alive);
+}
