Store client: bytes after an answer are not the next answer

Callers saw: a store sent a second answer behind a whole one; the next call got it: a read gave version 9 where the object was at version 1.

Cause: the pool took a connection back with what was read behind the answer in its buffer, and handed idle connections out without a look at the socket.

Change: a connection with bytes behind the answer is not used again, nor is an idle one on which something arrived. The look at the socket is the fleet agent's, now in support for both.

--- a/include/masticshunt/support/socket_options.h
+++ b/include/masticshunt/support/socket_options.h
@@ -24,6 +24,9 @@
 /// connection that carries a large body needs a longer one. Ignores what the system rejects.
 void set_user_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout);
 
+/// Returns true if the peer has neither closed the idle connection `handle` nor written to it.
+[[nodiscard]] bool is_silent(int handle);
+
 /// Returns true if the peer has ended its side of the connection `handle` and nothing has reset it.
 ///
 /// The end of the stream alone does not say so: a write that fails takes the error of a reset with
--- a/src/fleet/internal/connection_pool.cpp
+++ b/src/fleet/internal/connection_pool.cpp
@@ -1,11 +1,8 @@
 #include "fleet/internal/connection_pool.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cerrno>
 #include <utility>
 
 #include "fleet/internal/http_server.h"
@@ -18,17 +15,6 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-namespace {
-
-/// Returns false if the peer closed the connection or sent unsolicited bytes.
-bool is_idle(tcp::socket& socket) {
-  char byte = 0;
-  const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}  // namespace
-
 watchdog::watchdog(client_connection& connection, time_point deadline)
     : connection_(connection), timer_(connection.socket.get_executor()) {
   move(deadline);
@@ -63,7 +49,7 @@
     connection_ptr connection = std::move(idle[i]);
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     const bool fresh = boot_now() - connection->idle_since < connection->idle_limit;
-    if (fresh && is_idle(connection->socket)) return connection;
+    if (fresh && support::is_silent(connection->socket.native_handle())) return connection;
   }
   return nullptr;
 }
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -42,7 +42,9 @@
 
 http_exchange::connection_pointer http_exchange::take_idle() {
   const auto oldest = boot_now() - idle_age_max;
-  idle_.remove_if([&](const auto& each) { return each->last_used < oldest; });
+  idle_.remove_if([&](const auto& each) {
+    return each->last_used < oldest || !support::is_silent(each->stream.socket().native_handle());
+  });
   if (idle_.empty()) return nullptr;
   auto result = idle_.back();
   idle_.pop_back();
@@ -95,7 +97,9 @@
   auto result = co_await send_and_receive(acquired.connection, std::move(request));
   if (!result.response) co_return result;
   if (server_wait == duration::zero()) response_timeout_.record_latency(boot_now() - started_at);
-  if (result.response->keep_alive()) release(acquired.connection);
+  // Bytes after the response belong to no call.
+  const bool clean = acquired.connection->buffer.size() == 0;
+  if (result.response->keep_alive() && clean) release(acquired.connection);
   co_return result;
 }
 
--- a/src/support/socket_options.cpp
+++ b/src/support/socket_options.cpp
@@ -3,6 +3,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace masticshunt::support {
 
 namespace {
@@ -28,6 +30,12 @@
   set_number(socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
 }
 
+bool is_silent(int handle) {
+  char byte = 0;
+  const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool peer_ended_in_order(int handle) {
   tcp_info info{};
   socklen_t size = sizeof info;
--- a/tests/operator/broken_answer_test.cpp
+++ b/tests/operator/broken_answer_test.cpp
@@ -74,3 +74,35 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nETag: \"1\"\r\n\r\n");
   expect_equal(reason.kind, failure_kind::bad_input, reason.describe());
 }
+
+namespace {
+
+/// Returns the version that a store client reads after it has read another object from a store that
+/// answers with `answer`.
+std::uint64_t version_read_after(const scripted_answer& answer) {
+  const endpoint address = loopback_net() + "100:7510";
+  boost::asio::io_context context;
+  scripted_target store(context, address);
+  store.answer_with(answer);
+  store::store_client client(context.get_executor(), {.addresses = {address}}, 1);
+  ownership::store_read_done last;
+  for (const auto* name : {"a", "b"}) {
+    std::optional<ownership::store_read_done> done;
+    client.async_read({1, name}, [&](auto end) { done = std::move(end); });
+    while (!done) context.run_one();
+    last = std::move(*done);
+    context.run_for(milliseconds{100});
+    context.restart();
+  }
+  return last.object ? last.object->version : 0;
+}
+
+}  // namespace
+
+Test(store_read, does_not_take_bytes_after_an_answer_for_the_next) {
+  const std::string first = status_line + "ETag: \"1\"\r\nContent-Length: 2\r\n\r\n{}";
+  const std::string stray = status_line + "ETag: \"9\"\r\nContent-Length: 2\r\n\r\n{}";
+  expect_equal(version_read_after({first + stray, ending::serve_next}), 1U);
+  expect_equal(version_read_after({first, ending::serve_next, milliseconds{30}, 0, false, stray}),
+               1U);
+}
