Leader: an owner's rejection counts against the leader that it names only

Cause: the successor took an owner's earlier rejection, of a leader two terms before, for a rejection of the leader it succeeded: the time of a rejection was kept without the leader that it named, and never reset. The end of the lease then lay in the past, and the bound of the cut-off leader's lease was left out.

Change: a rejection is kept with the leader's incarnation and the lease end that the owner stated, and only until the owner's next report; taking over counts only rejections of the incarnation that is succeeded. "owner ended" logs how long ago the owner's lease had ended.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -108,13 +108,19 @@
   }
 
  private:
+  /// An owner's statement that it accepts no more replies of a leader.
+  struct rejection {
+    std::uint64_t leader_incarnation = 0;
+    time_point reported_at{};
+    time_point lease_end{};  ///< The owner's lease by that leader's replies ends by then.
+  };
   struct owner_state {
     owner_report report;
     std::uint64_t agent_incarnation = 0;  ///< Of the reporting process.
     time_point last_report{};
-    time_point rejected_at{};  ///< When it last reported that it rejects the current leader.
-    time_point lease_until{};  ///< According to the replies sent to it.
-    time_point map_sent{};     ///< Last sent with a reply.
+    std::optional<rejection> rejected;     ///< By its last report.
+    time_point lease_until{};              ///< According to the replies sent to it.
+    time_point map_sent{};                 ///< Last sent with a reply.
     std::uint64_t ended_registration = 0;  ///< It and all earlier registrations have ended.
     bool suspected = false;
     bool lease_call_in_flight = false;
@@ -134,6 +140,11 @@
 
   void lead(time_point now, leader_actions& out);
   void seek_leadership(time_point now, leader_actions& out);
+  /// Returns what the last report of `agent`, in `owners`, says against the leader `incarnation`;
+  /// null if it accepts the replies of that leader, or may do so.
+  [[nodiscard]] static const rejection* rejection_of(
+      const std::map<std::string, owner_state>& owners, const std::string& agent,
+      std::uint64_t incarnation);
   [[nodiscard]] bool rejected_by_majority(time_point now) const;
   void become_leader(const claim_map& written, time_point now);
   void suspect_owners(time_point now, leader_actions& out);
@@ -211,6 +222,7 @@
   std::uint64_t incarnation_revision_ = 0;  ///< Of the first map with the current incarnation.
   bool rejected_by_owner_ = false;          ///< An owner rejects the current incarnation.
   time_point earlier_lease_end_{};          ///< Of the previous leader.
+  std::uint64_t earlier_incarnation_ = 0;   ///< Of the previous leader.
   time_point leader_since_{};
   time_point leader_until_{};
   time_point last_write_{};
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -81,6 +81,7 @@
                                                    timing_.margin;
     if (rejected_by_owners && !resigned && !led_before)
       earlier_lease_end_ = revision_since_ + timing_.leader_lease + timing_.margin;
+    earlier_incarnation_ = map_.leader_incarnation;
     claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
     next.leader = agent_;
     next.leader_address = address_;
@@ -237,8 +238,9 @@
   if (!reply.is_leader) {
     owner_state& reporter = owners_[report.holder.agent];
     reporter.report = report;
-    if (report.rejected_incarnation != 0 && report.rejected_incarnation == map_.leader_incarnation)
-      reporter.rejected_at = now;
+    reporter.rejected.reset();
+    if (report.rejected_incarnation != 0)
+      reporter.rejected = {report.rejected_incarnation, now, now + report.lease_remaining};
     return reply;
   }
   owner_state& owner = owners_[report.holder.agent];
@@ -278,16 +280,22 @@
   return reply;
 }
 
+const leader::rejection* leader::rejection_of(const std::map<std::string, owner_state>& owners,
+                                              const std::string& agent, std::uint64_t incarnation) {
+  const auto found = owners.find(agent);
+  if (found == owners.end()) return nullptr;
+  const auto& rejected = found->second.rejected;
+  return rejected && rejected->leader_incarnation == incarnation ? &*rejected : nullptr;
+}
+
 bool leader::rejected_by_majority(time_point now) const {
   std::set<std::string> holders;
   for (const claim& claimed : map_.claims)
     if (!claimed.holder.agent.empty() && claimed.holder.agent != map_.leader)
       holders.insert(claimed.holder.agent);
   const auto agree = std::ranges::count_if(holders, [&](const std::string& agent) {
-    const auto found = owners_.find(agent);
-    return found != owners_.end() && found->second.rejected_at > time_point{} &&
-           now - found->second.rejected_at < rejection_lifetime &&
-           found->second.report.rejected_incarnation == map_.leader_incarnation;
+    const auto* rejected = rejection_of(owners_, agent, map_.leader_incarnation);
+    return rejected != nullptr && now - rejected->reported_at < rejection_lifetime;
   });
   return agree > 0 && 2 * static_cast<std::size_t>(agree) > holders.size();
 }
@@ -301,10 +309,8 @@
     owner_state& owner = owners_[claimed.holder.agent];
     owner.last_report = now;
     owner.lease_until = std::max(now, earlier_lease_end_);
-    const auto found = before.find(claimed.holder.agent);
-    if (found == before.end() || found->second.rejected_at == time_point{}) continue;
-    // This owner accepts no more replies of the earlier leader, and reported when its lease ends.
-    owner.lease_until = found->second.rejected_at + found->second.report.lease_remaining;
+    if (const auto* rejected = rejection_of(before, claimed.holder.agent, earlier_incarnation_))
+      owner.lease_until = rejected->lease_end;
   }
 }
 
@@ -381,7 +387,10 @@
   owner.suspected = false;
   owner.lease_revision.reset();
   next_write_ = now;
-  log_events_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\"");
+  const auto since_lease_end =
+      std::chrono::floor<std::chrono::milliseconds>(now - owner.lease_until);
+  log_events_.push_back("owner ended agent=" + agent + " why=\"its lease ran out\" since_ms=" +
+                        std::to_string(since_lease_end.count()));
 }
 
 std::uint64_t leader::known_to(const owner_report& owner) {
--- a/tests/decisions/claims/leader_fixture.h
+++ b/tests/decisions/claims/leader_fixture.h
@@ -51,6 +51,38 @@
       }
     }
   }
+  /// Stores a map written by `leader`, in which each of `owners` owns a range.
+  void store_map_led_by(const std::string& leader, std::uint64_t incarnation,
+                        const std::vector<std::string>& owners) {
+    constexpr shard_key range_size = 100;
+    stored = empty_map("ledger");
+    stored.revision = ++revision;
+    stored.leader = leader;
+    stored.leader_incarnation = incarnation;
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+      const auto first = static_cast<shard_key>(i * range_size);
+      split_at(stored.claims, {first, first + range_size - 1});
+      stored.claims[i].holder = {owners[i], 1};
+      stored.claims[i].upstream = {"i-" + owners[i], 1'000};
+      stored.claims[i].fence = i + 1;
+    }
+  }
+  /// The owner `agent` reports that it accepts no more replies of the leader `incarnation`.
+  void reject(const std::string& agent, std::uint64_t incarnation) {
+    auto rejecting = report(agent);
+    rejecting.rejected_incarnation = incarnation;
+    service_leader.report_received(rejecting, now);
+  }
+  /// Suspects the silent owner `agent`; returns true if its lease record is deleted within `span`,
+  /// while `others` report.
+  bool ends_within(const std::string& agent, const std::vector<std::string>& others,
+                   duration span) {
+    run_with(others, timing.owner_suspicion_timeout + milliseconds{300});
+    service_leader.owner_lease_read(agent, {.answered = true, .registration = 1, .revision = 77},
+                                    now);
+    run_with(others, span);
+    return !lease_deletions.empty();
+  }
   owner_report report(const std::string& agent, std::uint64_t registration = 1) const {
     return {.service = "ledger",
             .holder = {agent, registration},
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -196,42 +196,83 @@
 
 Test(leader, rejection_by_a_majority_of_owners_lets_a_candidate_lead_at_once) {
   leader_fixture fixture;
-  fixture.stored = empty_map("ledger");
-  fixture.stored.revision = fixture.revision;
-  fixture.stored.leader = "vm-3";
-  fixture.stored.leader_incarnation = 4;
-  split_at(fixture.stored.claims, {0, 99});
-  split_at(fixture.stored.claims, {100, 199});
-  const char* agents[] = {"vm-1", "vm-2", "vm-4"};
-  for (std::size_t i = 0; i < 3; ++i) {
-    fixture.stored.claims[i].holder = {agents[i], 1};
-    fixture.stored.claims[i].upstream = {std::string("i-") + agents[i], 1'000};
-    fixture.stored.claims[i].fence = i + 1;
-  }
+  fixture.store_map_led_by("vm-3", 4, {"vm-1", "vm-2", "vm-4"});
   fixture.run(seconds{3});
-  const auto reject = [&](const char* agent) {
-    auto report = fixture.report(agent);
-    report.rejected_incarnation = 4;
-    fixture.service_leader.report_received(report, fixture.now);
-  };
-  reject("vm-1");
+  fixture.reject("vm-1", 4);
   fixture.run(milliseconds{200});
   expect_equal(fixture.stored.leader, "vm-3", "one of three is no majority");
-  reject("vm-1");
-  reject("vm-2");
+  fixture.reject("vm-1", 4);
+  fixture.reject("vm-2", 4);
   fixture.run(milliseconds{200});
   expect_equal(fixture.stored.leader, "vm-9");
   // The third owner may still get replies from the earlier leader, so it is not replaced while that
   // leader's lease may last.
-  fixture.run_with({"vm-1", "vm-2"}, fixture.timing.owner_suspicion_timeout + milliseconds{300});
-  fixture.service_leader.owner_lease_read(
-      "vm-4", {.answered = true, .registration = 1, .revision = 77}, fixture.now);
-  fixture.run_with({"vm-1", "vm-2"}, fixture.timing.record_lease + seconds{1});
-  expect_true(fixture.lease_deletions.empty());
+  expect_false(
+      fixture.ends_within("vm-4", {"vm-1", "vm-2"}, fixture.timing.record_lease + seconds{1}));
+  fixture.run_with({"vm-1", "vm-2"}, fixture.timing.leader_lease);
+  expect_equal(fixture.lease_deletions.size(), 1U);
+}
+
+// Guards against keys that two upstreams hold: review/6, OWNER.
+Test(leader, a_rejection_of_an_earlier_leader_ends_no_lease_of_the_present_one) {
+  leader_fixture fixture;
+  fixture.store_map_led_by("vm-3", 4, {"vm-1", "vm-2", "vm-4"});
+  fixture.run(seconds{3});
+  fixture.reject("vm-4", 4);
+  fixture.store_map_led_by("vm-5", 5, {"vm-1", "vm-2", "vm-4"});
+  fixture.run(seconds{3});
+  fixture.reject("vm-1", 5);
+  fixture.reject("vm-2", 5);
+  fixture.run(milliseconds{200});
+  expect_equal(fixture.stored.leader, "vm-9");
+  expect_false(
+      fixture.ends_within("vm-4", {"vm-1", "vm-2"}, fixture.timing.record_lease + seconds{1}));
   fixture.run_with({"vm-1", "vm-2"}, fixture.timing.leader_lease);
   expect_equal(fixture.lease_deletions.size(), 1U);
 }
 
+// Guards against a rejection of its first term that counts in its second.
+Test(leader, leads_with_another_incarnation_in_each_term) {
+  leader_fixture fixture;
+  fixture.run_with({"vm-1"}, seconds{6});
+  const auto first_term = fixture.stored.leader_incarnation;
+  fixture.store_map_led_by("vm-3", 4, {"vm-1"});
+  fixture.run_with({"vm-1"}, seconds{4});
+  expect_false(fixture.service_leader.leads(fixture.now));
+  fixture.reject("vm-1", 4);
+  fixture.run(milliseconds{200});
+  expect_equal(fixture.stored.leader, "vm-9");
+  expect_true(fixture.stored.leader_incarnation > first_term);
+}
+
+// Guards against keys that two upstreams hold when leaders follow one another within a lease.
+Test(leader, a_successor_of_a_resigned_leader_waits_for_the_leases_of_those_before_it) {
+  leader_fixture fixture;
+  fixture.store_map_led_by("vm-3", 4, {"vm-1", "vm-2", "vm-4"});
+  fixture.stored.earlier_leases = seconds{9};
+  fixture.stored.leader.clear();
+  fixture.run(milliseconds{200});
+  expect_equal(fixture.stored.leader, "vm-9");
+  expect_false(fixture.ends_within("vm-4", {"vm-1", "vm-2"}, seconds{7}));
+  fixture.run_with({"vm-1", "vm-2"}, seconds{2});
+  expect_equal(fixture.lease_deletions.size(), 1U);
+}
+
+Test(leader, names_in_its_maps_how_long_the_leases_of_earlier_leaders_may_last) {
+  leader_fixture fixture;
+  fixture.store_map_led_by("vm-3", 4, {"vm-1"});
+  fixture.run(seconds{3});
+  fixture.reject("vm-1", 4);
+  fixture.run(milliseconds{200});
+  expect_equal(fixture.stored.leader, "vm-9");
+  const duration in_first_map = fixture.stored.earlier_leases;
+  expect_true(in_first_map > fixture.timing.leader_lease - seconds{4});
+  fixture.run_with({"vm-1"}, seconds{5});
+  expect_true(fixture.stored.earlier_leases < in_first_map - seconds{2});
+  fixture.run_with({"vm-1"}, seconds{10});
+  expect_true(fixture.stored.earlier_leases == duration{});
+}
+
 Test(leader, starts_a_new_incarnation_when_an_owner_has_rejected_the_current_one) {
   leader_fixture fixture;
   fixture.run_with({"vm-1"}, seconds{6});
