Leader: each term has its own incarnation

Cause: an agent led its second term with the incarnation of its first, unless an owner had rejected it meanwhile. An owner's rejection of the first term, kept by a candidate that did not win then, names the second one as well, so the candidate could again take the owner's lease for ended while replies of the second term renewed it.

Change: a term that follows another one of the same process begins with the next incarnation.

Result: leader::leads_with_another_incarnation_in_each_term failed before (the incarnation was the same); decisions_claims_test passes, 104 of 104.

--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -218,7 +218,8 @@
   bool read_in_flight_ = false;
 
   bool holds_ = false;
-  bool write_conflict_ = false;  ///< The last write met another revision, not read back yet.
+  bool incarnation_has_led_ = false;  ///< The next term needs another incarnation.
+  bool write_conflict_ = false;       ///< The last write met another revision, not read back yet.
   std::uint64_t incarnation_revision_ = 0;  ///< Of the first map with the current incarnation.
   bool rejected_by_owner_ = false;          ///< An owner rejects the current incarnation.
   time_point earlier_lease_end_{};          ///< Of the previous leader.
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -82,6 +82,7 @@
     if (rejected_by_owners && !resigned && !led_before)
       earlier_lease_end_ = revision_since_ + timing_.leader_lease + timing_.margin;
     earlier_incarnation_ = map_.leader_incarnation;
+    if (std::exchange(incarnation_has_led_, false)) ++incarnation_;
     claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
     next.leader = agent_;
     next.leader_address = address_;
@@ -216,6 +217,7 @@
   if (!led_before || written.leader_incarnation != map_.leader_incarnation)
     incarnation_revision_ = revision;
   holds_ = !written.leader.empty();
+  incarnation_has_led_ = true;
   leader_until_ = sent + timing_.leader_lease;
   last_write_ = sent;
   next_write_ = now + std::chrono::milliseconds{100};
