Leader: a successor waits for the leases of all leaders before it

What callers could see: two upstreams with the same keys, both at work on them, for 1.3 s, where the successor of a partitioned leader is itself killed, stopped or restarted.

Cause: an agent that follows a leader which resigned, or its own earlier process, took the end of that leader's leases (5 s at most) for the end of all. The leader before that one may still be partitioned and grant leases in its own zone for up to 12 s after its last write. Nothing told the third leader of it.

Change: each map says for how long, from its write, leases of earlier leaders may still run (earlier_leases_us; a map without it says none, as before). Who succeeds a leader that ended by itself waits for that as well. The wait concerns silent owners only. The one place that computes the bound is lease_end_of_predecessors.

The test leader::a_successor_of_a_resigned_leader_waits_for_the_leases_of_those_before_it failed before; decisions_claims_test passes, 105 of 105.

--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -69,6 +69,8 @@
   std::string leader;  ///< Empty after the leader has resigned.
   endpoint leader_address;
   std::uint64_t leader_incarnation = 0;
+  /// For how long, from this write, leases of earlier leaders than `leader` may last.
+  duration earlier_leases{};
   std::uint64_t next_fence = 1;
   std::vector<claim> claims;  ///< Sorted; every key is covered exactly once.
 
--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -146,6 +146,9 @@
       const std::map<std::string, owner_state>& owners, const std::string& agent,
       std::uint64_t incarnation);
   [[nodiscard]] bool rejected_by_majority(time_point now) const;
+  /// Returns when the leases end that the present leader and those before it granted, if this agent
+  /// succeeds it at `now`. `ended_itself`: it resigned, or was an earlier process of this agent.
+  [[nodiscard]] time_point lease_end_of_predecessors(bool ended_itself, time_point now) const;
   void become_leader(const claim_map& written, time_point now);
   void suspect_owners(time_point now, leader_actions& out);
   void propose(claim_map next, time_point now, leader_actions& out);
@@ -222,7 +225,7 @@
   bool write_conflict_ = false;       ///< The last write met another revision, not read back yet.
   std::uint64_t incarnation_revision_ = 0;  ///< Of the first map with the current incarnation.
   bool rejected_by_owner_ = false;          ///< An owner rejects the current incarnation.
-  time_point earlier_lease_end_{};          ///< Of the previous leader.
+  time_point earlier_lease_end_{};          ///< Of all previous leaders.
   std::uint64_t earlier_incarnation_ = 0;   ///< Of the previous leader.
   time_point leader_since_{};
   time_point leader_until_{};
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -51,6 +51,10 @@
 
 namespace {
 
+std::int64_t microseconds_in(duration span) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
 json pack(const key_range& keys) {
   return json::array({keys.first, keys.last});
 }
@@ -107,6 +111,7 @@
           {"leader", map.leader},
           {"leader_address", map.leader_address},
           {"leader_life", map.leader_incarnation},
+          {"earlier_leases_us", microseconds_in(map.earlier_leases)},
           {"next_fence", map.next_fence},
           {"holders", std::move(packed_holders)},
           {"claims", std::move(claims)}};
@@ -120,6 +125,7 @@
   map.leader = in.at("leader").get<std::string>();
   map.leader_address = in.at("leader_address").get<std::string>();
   map.leader_incarnation = in.at("leader_life").get<std::uint64_t>();
+  map.earlier_leases = std::chrono::microseconds{in.value("earlier_leases_us", std::int64_t{0})};
   map.next_fence = in.at("next_fence").get<std::uint64_t>();
   for (const json& each : in.at("claims"))
     map.claims.push_back(unpack_claim(each, in.at("holders")));
@@ -168,12 +174,10 @@
           {"restarting", report.restarting},
           {"relocating", report.relocating},
           {"slots", report.slots},
-          {"service_us",
-           std::chrono::duration_cast<std::chrono::microseconds>(report.service_time).count()},
+          {"service_us", microseconds_in(report.service_time)},
           {"map", report.map_revision},
           {"rejected", report.rejected_incarnation},
-          {"right_left_us",
-           std::chrono::duration_cast<std::chrono::microseconds>(report.lease_remaining).count()},
+          {"right_left_us", microseconds_in(report.lease_remaining)},
           {"changes", report.takes_changes},
           {"released", pack(report.released)},
           {"loads", std::move(loads)}};
@@ -201,7 +205,7 @@
 }
 
 json pack(const leader_reply& reply) {
-  json out{{"right_us", std::chrono::duration_cast<std::chrono::microseconds>(reply.lease).count()},
+  json out{{"right_us", microseconds_in(reply.lease)},
            {"is_leader", reply.is_leader},
            {"life", reply.leader_incarnation},
            {"to_release", pack(reply.to_release)}};
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -74,13 +74,8 @@
       map_.revision > 0 && now >= revision_since_ + timing_.leader_lease + timing_.margin + stagger;
   const bool rejected_by_owners = map_.revision > 0 && rejected_by_majority(now);
   if (no_map || resigned || abandoned || led_before || rejected_by_owners) {
-    const bool earlier_lease_ended = no_map || abandoned;
-    earlier_lease_end_ = earlier_lease_ended ? now
-                                             : std::min(now + timing_.restart_lease,
-                                                        revision_since_ + timing_.leader_lease) +
-                                                   timing_.margin;
-    if (rejected_by_owners && !resigned && !led_before)
-      earlier_lease_end_ = revision_since_ + timing_.leader_lease + timing_.margin;
+    const bool ended_itself = resigned || led_before;
+    earlier_lease_end_ = no_map || abandoned ? now : lease_end_of_predecessors(ended_itself, now);
     earlier_incarnation_ = map_.leader_incarnation;
     if (std::exchange(incarnation_has_led_, false)) ++incarnation_;
     claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
@@ -95,6 +90,14 @@
   out.emplace_back(read_map{});
 }
 
+time_point leader::lease_end_of_predecessors(bool ended_itself, time_point now) const {
+  const time_point leader_end = revision_since_ + timing_.leader_lease;
+  if (!ended_itself) return leader_end + timing_.margin;
+  // It grants no more leases, but a leader that it succeeded may still do so.
+  const time_point last_lease_end = std::min(now + timing_.restart_lease, leader_end);
+  return std::max(last_lease_end + timing_.margin, revision_since_ + map_.earlier_leases);
+}
+
 void leader::lead(time_point now, leader_actions& out) {
   if (resigning_) {
     claim_map next = map_;
@@ -123,6 +126,8 @@
   next.write_counter = map_.write_counter + 1;
   next.writer = agent_;
   next.leader_incarnation = incarnation_;
+  next.earlier_leases =
+      std::chrono::ceil<std::chrono::microseconds>(std::max(duration{}, earlier_lease_end_ - now));
   for (claim& claimed : next.claims) {
     const auto since = fence_since_.find(claimed.fence);
     if (since != fence_since_.end() && now - since->second > handover_lifetime)
--- a/tests/decisions/claims/claim_map_test.cpp
+++ b/tests/decisions/claims/claim_map_test.cpp
@@ -19,6 +19,7 @@
   map.leader = "vm-2";
   map.leader_address = "10.0.0.2:7600";
   map.leader_incarnation = 99;
+  map.earlier_leases = std::chrono::milliseconds{2'500};
   map.next_fence = 5;
   return map;
 }
--- a/tests/decisions/claims/leader_test.cpp
+++ b/tests/decisions/claims/leader_test.cpp
@@ -245,6 +245,27 @@
   expect_true(fixture.stored.leader_incarnation > first_term);
 }
 
+// Guards against keys that two upstreams hold when leaders follow one another within a lease.
+Test(leader, a_successor_of_a_resigned_leader_waits_for_the_leases_of_those_before_it) {
+  leader_fixture first;
+  first.store_map_led_by("vm-3", 4, {"vm-1", "vm-2", "vm-4"});
+  first.run(seconds{3});
+  first.reject("vm-1", 4);
+  first.reject("vm-2", 4);
+  first.run(milliseconds{200});
+  first.service_leader.resign();
+  first.run(milliseconds{200});
+  expect_true(first.stored.leader.empty());
+  leader_fixture second;
+  second.stored = first.stored;
+  second.revision = first.revision;
+  second.run(milliseconds{200});
+  expect_equal(second.stored.leader, "vm-9");
+  expect_false(second.ends_within("vm-4", {"vm-1", "vm-2"}, seconds{7}));
+  second.run_with({"vm-1", "vm-2"}, seconds{5});
+  expect_equal(second.lease_deletions.size(), 1U);
+}
+
 Test(leader, starts_a_new_incarnation_when_an_owner_has_rejected_the_current_one) {
   leader_fixture fixture;
   fixture.run_with({"vm-1"}, seconds{6});
