Sessions: an answer counts as sent when the kernel has taken it

Cause: a session drops a request from its list when its answer was appended to the output, and closed itself, or let itself be closed, whenever that list was empty: it never looked at what it had not yet sent. So close_if_idle, at SIGTERM, shut the sending side down under the output; the process counted as idle and ended; the idle timeout ran while a peer was reading; and a connection that still sent could be evicted for another one.

Change: a session with unsent output is not idle, for all four. A server is idle once all answers are complete and sent, which is what the process waits for, for its callers and its peers, within its grace period. The idle timeout counts from the last byte that the peer took; a peer that takes none for so long is dropped.

--- a/src/fleet/internal/agent_process.cpp
+++ b/src/fleet/internal/agent_process.cpp
@@ -443,8 +443,7 @@
 void agent_process::advance_shutdown(time_point now) {
   if (!shutdown_->gate_is_open(now)) gate_.stop();
   if (!shutdown_->accepts_connections(now)) callers_server_.stop_accepting();
-  const bool idle = callers_server_.open_requests() == 0 && gate_.in_flight() == 0 &&
-                    peer_server_.open_requests() == 0;
+  const bool idle = callers_server_.idle() && gate_.in_flight() == 0 && peer_server_.idle();
   if (!shutdown_->ends(now, idle)) return;
   log_event("stopped in_flight=" + std::to_string(callers_server_.open_requests()));
   log_.flush(now);
--- a/src/fleet/internal/http_server.cpp
+++ b/src/fleet/internal/http_server.cpp
@@ -94,6 +94,12 @@
   for (const auto& each : copy) each->close_if_idle();
 }
 
+bool http_server::idle() const {
+  return open_requests_ == 0 && std::ranges::none_of(sessions_, [](const auto& each) {
+           return each->has_unsent_output();
+         });
+}
+
 void http_server::sweep(time_point now) {
   const auto copy = sessions_;
   for (const auto& each : copy) each->sweep(now);
--- a/src/fleet/internal/http_server.h
+++ b/src/fleet/internal/http_server.h
@@ -155,8 +155,10 @@
 
   [[nodiscard]] const server_limits& limits() const { return limits_; }
   [[nodiscard]] bool closing() const { return closing_; }
-  /// Returns the number of requests that are not completely answered.
+  /// Returns the number of requests whose answers are not complete.
   [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
+  /// Returns true if all answers are complete and sent.
+  [[nodiscard]] bool idle() const;
   [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
 
  private:
--- a/src/fleet/internal/server_session.cpp
+++ b/src/fleet/internal/server_session.cpp
@@ -78,17 +78,20 @@
 void server_session::sweep(time_point now) {
   const auto& limits = server_->limits();
   const bool late_header = header_since_ && now - *header_since_ > limits.header_timeout;
-  const bool idle = pending_.empty() && !header_since_ && !body_in_progress_ &&
-                    now - idle_since_ > limits.idle_timeout;
+  const bool expired = idle() && now - idle_since_ > limits.idle_timeout;
+  // The peer has taken no byte of its answers for so long.
+  const bool stalled =
+      pending_.empty() && has_unsent_output() && now - idle_since_ > limits.idle_timeout;
   const bool linger_expired = shut_down_at_ && now - *shut_down_at_ > linger_after_close;
   // The rest of a body that was answered early, and that nobody waits for.
   const bool abandoned_body = body_in_progress_ && pending_.empty() && !shut_down_at_ &&
                               now - idle_since_ > limits.idle_timeout;
-  if (late_header || idle || linger_expired || abandoned_body) drop();
+  if (late_header || expired || stalled || linger_expired || abandoned_body) drop();
 }
 
 bool server_session::idle() const {
-  return pending_.empty() && !header_since_ && !body_in_progress_ && !shut_down_at_;
+  return pending_.empty() && !header_since_ && !body_in_progress_ && !has_unsent_output() &&
+         !shut_down_at_;
 }
 
 std::optional<requests::connection_holding> server_session::holding(time_point now,
@@ -130,7 +133,7 @@
 }
 
 void server_session::close_if_idle() {
-  if (pending_.empty() && !header_since_ && !body_in_progress_) shut_down_send();
+  if (idle()) shut_down_send();
 }
 
 void server_session::detach() {
@@ -462,6 +465,7 @@
                                return self->drop();
                              }
                              self->progress_ += sent;
+                             self->idle_since_ = boot_now();
                              self->unsent_.erase(0, sent);
                              self->output_held_.set(self->unsent_.size());
                              if (!self->unsent_.empty()) return self->write_unsent();
--- a/src/fleet/internal/server_session.h
+++ b/src/fleet/internal/server_session.h
@@ -34,7 +34,11 @@
   /// Returns true while the connection waits for the start of a request.
   [[nodiscard]] bool idle() const;
   /// Returns true while only a part of a head has arrived.
-  [[nodiscard]] bool has_partial_head() const { return pending_.empty() && header_since_; }
+  [[nodiscard]] bool has_partial_head() const {
+    return pending_.empty() && header_since_ && !has_unsent_output();
+  }
+  /// Returns true while the peer is still to take a part of the answers.
+  [[nodiscard]] bool has_unsent_output() const { return writing_; }
   [[nodiscard]] time_point idle_since() const { return header_since_.value_or(idle_since_); }
   [[nodiscard]] time_point accepted_at() const { return accepted_at_; }
   [[nodiscard]] const std::string& sender() const { return sender_; }
@@ -49,6 +53,7 @@
   [[nodiscard]] std::uint64_t bytes_held() const;
   /// Closes the connection at once; its requests are cancelled.
   void drop();
+  /// Closes the connection unless it has a request, a part of one, or unsent output.
   void close_if_idle();
   /// Closes the connection and uses the server no more.
   void detach();
