Registrar: an upstream is used only after a heartbeat to this process

Cause: the acknowledgement is given after 0.5 s even if the store does not have it, as the target waits no longer than a second. Only the agent's memory held it then. The next process believed the store's older registration, "ready", and let the gate use the target without a heartbeat, for as long as none came. The class: a record of what was is taken for what is.

Change: what an earlier process published says which incarnation was there, not that it may be used; that takes a heartbeat. A target that has left sends none. Any acknowledgement is thereby kept over a restart, whatever the store holds. On the same path: a restarted agent never published anything before the first heartbeat. Without one for the heartbeat timeout it now publishes "gone", so that peers try the target no more; a deregistration that is the first message to it is published at once.

Open: a heartbeat sent before the leaving and delayed past the restart still counts.

--- a/include/masticshunt/decisions/routing/upstream_watch.h
+++ b/include/masticshunt/decisions/routing/upstream_watch.h
@@ -25,7 +25,8 @@
 /// Heartbeats may arrive late, also those of an earlier incarnation: an older incarnation, or a
 /// lower sequence of the same incarnation, is ignored. An incarnation that said that it drains,
 /// leaves or is gone does not become ready again, even if that was the first message received from
-/// it. Thread safety: none.
+/// it. What an earlier process published says which incarnation was there, not that it still is:
+/// it may have left meanwhile, and have told only that process. Thread safety: none.
 class upstream_watch {
  public:
   /// Without a heartbeat for `timeout`, the upstream counts as gone.
@@ -40,14 +41,19 @@
   bool leaving(const upstream_incarnation& incarnation, time_point now);
   /// Applies the registration that an earlier process on this VM published last, until the first
   /// heartbeat arrives.
-  void restore(const registration& published);
+  void restore(const registration& published, time_point now);
 
-  /// Returns true if a heartbeat arrived within the timeout.
+  /// Returns true if a heartbeat arrived within the timeout: only then may the upstream be used.
   [[nodiscard]] bool present(time_point now) const {
     return last_heartbeat_ && heartbeat_received_ && now - last_heartbeat_at_ < timeout_;
   }
   /// Returns true if this process received a heartbeat.
   [[nodiscard]] bool confirmed() const { return heartbeat_received_; }
+  /// Returns true if `stage` can be published: a heartbeat or a deregistration arrived, or nothing
+  /// for the timeout after `restore`.
+  [[nodiscard]] bool settled(time_point now) const {
+    return heartbeat_received_ || gone_ || (restored_at_ && now - *restored_at_ >= timeout_);
+  }
   /// Returns when the last heartbeat arrived.
   [[nodiscard]] time_point last_heartbeat_at() const { return last_heartbeat_at_; }
   /// Returns the last heartbeat, or what stands in for it after `restore` or `gone`; or nothing.
@@ -63,6 +69,7 @@
   bool heartbeat_received_ = false;
   bool gone_ = false;
   time_point last_heartbeat_at_{};
+  std::optional<time_point> restored_at_;
   std::optional<time_point> draining_since_;
 };
 
--- a/src/decisions/routing/upstream_watch.cpp
+++ b/src/decisions/routing/upstream_watch.cpp
@@ -58,8 +58,9 @@
   return true;
 }
 
-void upstream_watch::restore(const registration& published) {
+void upstream_watch::restore(const registration& published, time_point now) {
   if (last_heartbeat_ || published.incarnation.id.empty()) return;
+  restored_at_ = now;
   last_heartbeat_ = upstream_heartbeat{.incarnation = published.incarnation,
                                        .service = published.service,
                                        .slots = published.slots,
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -61,7 +61,7 @@
                                 .region = settings_.region,
                                 .service = settings_.service};
   if (const auto& heartbeat = watch_.last()) {
-    current.service = heartbeat->service;
+    if (!heartbeat->service.empty()) current.service = heartbeat->service;
     current.incarnation = heartbeat->incarnation;
     current.slots = heartbeat->slots;
     current.stage = watch_.stage(now);
@@ -76,8 +76,9 @@
   if (current == nullptr) return;
   published_ = *current;
   if (watch_.last()) return;
-  watch_.restore(*current);
-  apply(boot_now());
+  const auto now = boot_now();
+  watch_.restore(*current, now);
+  apply(now);
 }
 
 void upstream_registrar::handle(std::shared_ptr<server_request> request) {
@@ -179,14 +180,13 @@
 
 void upstream_registrar::apply(time_point now) {
   const auto current = registration(now);
-  const bool usable = watch_.last() && !unreachable_ &&
-                      (watch_.present(now) || !watch_.confirmed()) &&
+  const bool usable = watch_.present(now) && !unreachable_ &&
                       current.incarnation.id == watch_.last()->incarnation.id;
   gate_.update_upstream(usable ? std::optional(current.incarnation) : std::nullopt, current.service,
                         current.slots);
   gate_.set_draining_since(watch_.draining_since());
   if (on_change_) on_change_();
-  if (!publishing_ && published_ != current && watch_.confirmed()) spawn(executor_, publish());
+  if (!publishing_ && published_ != current && watch_.settled(now)) spawn(executor_, publish());
 }
 
 void upstream_registrar::tick(time_point now) {
@@ -215,7 +215,7 @@
       }
     });
   }
-  if (!watch_.confirmed()) return;
+  if (!watch_.settled(now)) return;
   const auto current = registration(now);
   if (published_ && published_->stage != current.stage) apply(now);
   if (!publishing_ && published_ != current && now >= next_publish_) spawn(executor_, publish());
--- a/src/fleet/internal/upstream_registrar.h
+++ b/src/fleet/internal/upstream_registrar.h
@@ -21,9 +21,9 @@
 /// registration when it changes.
 ///
 /// Draining, also said in an answer, and deregistration take effect locally at once, and are
-/// written to the store before they are acknowledged, so that the next process on this VM sees them
-/// too. If the store does not answer in time, the acknowledgement is sent without it. Thread
-/// safety: none.
+/// written to the store before they are acknowledged, so that peers see them too. If the store does
+/// not answer in time, the acknowledgement is sent without it: the next process on this VM does not
+/// depend on it, as it uses an upstream only after a heartbeat. Thread safety: none.
 class upstream_registrar {
  public:
   upstream_registrar(const boost::asio::any_io_executor& executor, const fleet_settings& settings,
@@ -32,7 +32,7 @@
 
   /// Answers a request from the upstream.
   void handle(std::shared_ptr<server_request> request);
-  /// Restores the registration that an earlier process on this VM published.
+  /// Takes from the store which incarnation an earlier process on this VM has published.
   void registrations_loaded();
   /// Detects connection failures and missed heartbeats, and publishes a changed registration.
   void tick(time_point now);
--- a/tests/decisions/routing/upstream_watch_test.cpp
+++ b/tests/decisions/routing/upstream_watch_test.cpp
@@ -48,8 +48,9 @@
   expect_true(watch.gone("i-1", start));
   expect_true(watch.draining_since().has_value());
   registration published{.agent = "vm-1", .service = "ledger", .incarnation = {"i-1", 5}};
-  watch.restore(published);
+  watch.restore(published, start);
   expect_true(watch.draining_since().has_value());
+  expect_true(watch.settled(start));
   expect_true(watch.stage(start) == upstream_stage::gone);
 }
 
@@ -104,13 +105,32 @@
                  .service = "ledger",
                  .incarnation = {"i-1", 1},
                  .stage = upstream_stage::draining,
-                 .slots = 4});
+                 .slots = 4},
+                start);
   expect_false(watch.confirmed());
   expect_true(watch.draining_since().has_value());
   expect_true(watch.heartbeat_received(heartbeat(1, 1), start));
   expect_true(watch.confirmed());
 }
 
+// Guards against the use of an upstream that has left: review/8, DRAIN.
+Test(upstream_watch, a_restored_upstream_is_not_present_before_its_first_heartbeat) {
+  upstream_watch watch(seconds{3});
+  watch.restore({.agent = "vm-1", .service = "ledger", .incarnation = {"i-1", 1}}, start);
+  expect_false(watch.present(start));
+  expect_false(watch.settled(start + seconds{2}));
+  watch.heartbeat_received(heartbeat(1, 7), start + seconds{2});
+  expect_true(watch.present(start + seconds{2}));
+  expect_true(watch.stage(start + seconds{2}) == upstream_stage::ready);
+}
+
+Test(upstream_watch, a_restored_upstream_without_heartbeats_is_published_as_gone) {
+  upstream_watch watch(seconds{3});
+  watch.restore({.agent = "vm-1", .service = "ledger", .incarnation = {"i-1", 1}}, start);
+  expect_true(watch.settled(start + seconds{3}));
+  expect_true(watch.stage(start + seconds{3}) == upstream_stage::gone);
+}
+
 Test(upstream_watch,
      an_upstream_that_says_in_an_answer_that_it_leaves_drains_until_the_next_incarnation) {
   upstream_watch watch(seconds{3});
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -31,12 +31,13 @@
   /// Changes the settings of the agent `index` before it is created.
   using adapt_settings = std::function<void(fleet::fleet_settings&, std::size_t index)>;
 
+  /// `published`: the stage of the upstreams that earlier processes of the agents have published.
   explicit small_fleet(
       std::size_t agents, const adapt_settings& adapt = [](auto&, std::size_t) {},
-      const nlohmann::json& state = desired_state(1))
+      const nlohmann::json& state = desired_state(1), std::string_view published = "gone")
       : store_(context_.get_executor(), 1), callers_(context_.get_executor(), {}) {
     store_.start(store_address());
-    for (const auto i : std::views::iota(std::size_t{0}, agents)) add_vm(i, adapt);
+    for (const auto i : std::views::iota(std::size_t{0}, agents)) add_vm(i, adapt, published);
     store_.put("config", "main", state);
     for (const auto& each : agents_) each->start();
     run_for(std::chrono::milliseconds{500});
@@ -97,7 +98,7 @@
 
   [[nodiscard]] endpoint store_address() const { return net_ + "1:7500"; }
 
-  void add_vm(std::size_t i, const adapt_settings& adapt) {
+  void add_vm(std::size_t i, const adapt_settings& adapt, std::string_view published) {
     const std::string ip = net_ + std::to_string(first_agent + i);
     const endpoint upstream_address = net_ + std::to_string(first_upstream + i) + ":7510";
     fleet::fleet_settings settings{.name = "vm-" + std::to_string(i + 1),
@@ -119,9 +120,9 @@
                 {"zone", settings.zone},
                 {"region", settings.region},
                 {"service", "ledger"},
-                {"upstream", ""},
+                {"upstream", published == "gone" ? "" : "i-" + settings.name + "-1"},
                 {"born", 0},
-                {"stage", "gone"},
+                {"stage", published},
                 {"slots", 1}});
     upstreams_.push_back(std::make_unique<process_soak::upstream>(
         context_.get_executor(),
--- a/tests/process_soak/store.h
+++ b/tests/process_soak/store.h
@@ -82,6 +82,13 @@
       it = watches_.erase(it);
     }
   }
+  /// Returns what an object holds; null if there is none.
+  [[nodiscard]] nlohmann::json spec(const std::string& kind, const std::string& name) const {
+    const auto objects = objects_by_kind_.find(kind);
+    if (objects == objects_by_kind_.end()) return nullptr;
+    const auto found = objects->second.find(name);
+    return found == objects->second.end() ? nlohmann::json() : found->second.spec;
+  }
 
  private:
   using request_ptr = std::shared_ptr<fleet::server_request>;
--- a/tests/process_soak/upstream.h
+++ b/tests/process_soak/upstream.h
@@ -102,6 +102,8 @@
     cold_until_ = boot_now() + span;
     cold_arrivals_.clear();
   }
+  /// While set, it serves on but sends no heartbeats.
+  void set_heartbeats_silent(bool silent) { heartbeats_silent_ = silent; }
   /// While set, health checks are not answered.
   void set_health_silent(bool silent) { health_silent_ = silent; }
   /// Returns the requests that have arrived, and the most of them in a second while it was cold.
@@ -382,6 +384,11 @@
 
   boost::asio::awaitable<void> send_heartbeats(int incarnation) {
     while (up() && incarnation == incarnation_) {
+      if (heartbeats_silent_) {
+        boost::asio::steady_timer silent(executor_, std::chrono::milliseconds{100});
+        co_await silent.async_wait(boost::asio::use_awaitable);
+        continue;
+      }
       fleet::exchange_request request;
       request.head = "PUT /-/instances/" + id_ + " HTTP/1.1\r\nHost: " + settings_.agent +
                      "\r\nContent-Type: application/json\r\n";
@@ -443,6 +450,7 @@
   std::size_t most_while_cold_ = 0;
   std::size_t arrived_ = 0;
   bool health_silent_ = false;
+  bool heartbeats_silent_ = false;
   std::vector<request_ptr> unanswered_;
   bool draining_ = false;
   bool leaving_ = false;
