Gate: a restarted agent is passed over briefly, and its keys are waited for

What callers saw, since an agent uses its target only after a heartbeat: after each restart of an agent more requests were refused, for longer than the 0.87 s until that heartbeat.

Cause: peers took the refusal for an agent that can't be reached: each one doubled the time of its ejection, up to 2 s, and counted as a failure. A request with a key was refused as well, though before it had waited for its key to be granted.

Change: while the agent waits for the heartbeat, the refusal says when to come back. Peers then pass the agent over for the first ejection's time (0.2 s) and count no failure; agents of an earlier version read it as before. A request with a key waits for the key, as it did.

--- a/include/masticshunt/decisions/routing/upstream_directory.h
+++ b/include/masticshunt/decisions/routing/upstream_directory.h
@@ -82,6 +82,7 @@
 enum class attempt_health {
   good,
   refused,     ///< The agent refused it before sending it to the upstream.
+  starting,    ///< The agent has restarted, and has not heard from its upstream yet.
   failed,      ///< The upstream failed it, or refused it although a slot was free.
   unreachable  ///< The agent could not be reached, or the connection broke.
 };
--- a/src/decisions/routing/upstream_directory.cpp
+++ b/src/decisions/routing/upstream_directory.cpp
@@ -274,14 +274,16 @@
     --upstream->sent_since_report;
   }
   const bool bad = health == attempt_health::failed || health == attempt_health::unreachable;
-  if (health != attempt_health::refused) {
+  if (health != attempt_health::refused && health != attempt_health::starting) {
     const double before = failure_share(*upstream, now);
     upstream->failure_share = before + failure_share_step * ((bad ? 1.0 : 0.0) - before);
     upstream->failure_updated_at = now;
   }
   if (health != attempt_health::unreachable) {
     upstream->consecutive_unreachable = 0;
-    upstream->ejected_until = {};
+    // Its next heartbeat is due soon, so it is not ejected for longer each time.
+    const bool starting = health == attempt_health::starting;
+    upstream->ejected_until = starting ? now + settings_.first_ejection : time_point{};
     return;
   }
   const duration ejection =
--- a/src/fleet/internal/attempt.cpp
+++ b/src/fleet/internal/attempt.cpp
@@ -129,9 +129,10 @@
     case attempt_result::unreachable:
       return attempt_health::unreachable;
     case attempt_result::not_run:
-      return outcome.why == refusal::no_upstream ? attempt_health::unreachable
-             : outcome.why == refusal::shed      ? attempt_health::failed
-                                                 : attempt_health::refused;
+      if (outcome.why == refusal::shed) return attempt_health::failed;
+      if (outcome.why != refusal::no_upstream) return attempt_health::refused;
+      return outcome.retry_after.count() > 0 ? attempt_health::starting
+                                             : attempt_health::unreachable;
     case attempt_result::cancelled:
       break;
   }
--- a/src/fleet/internal/attempt.h
+++ b/src/fleet/internal/attempt.h
@@ -59,7 +59,8 @@
   none,
   overloaded,     ///< The request would wait too long at the gate.
   leaving,        ///< The upstream or its agent accepts no new requests.
-  no_upstream,    ///< The agent has no available upstream of the service.
+  no_upstream,    ///< The agent has no available upstream of the service; with a time to come
+                  ///< back: it has restarted and waits for the upstream's heartbeat.
   not_owner,      ///< Another agent owns the key.
   owner_pending,  ///< The key has no reachable owner, or is being granted or moved.
   shed,           ///< The upstream refused the request without running it.
--- a/src/fleet/internal/gate_service.cpp
+++ b/src/fleet/internal/gate_service.cpp
@@ -28,6 +28,7 @@
 /// An older statement about the present speed says nothing to others.
 constexpr duration slowdown_lifetime = std::chrono::milliseconds{300};
 constexpr std::chrono::milliseconds evacuated_retry_after{300};
+constexpr std::chrono::milliseconds heartbeat_retry_after{200};
 constexpr unsigned first_failure_status = 300;
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_misdirected = 421;
@@ -122,7 +123,11 @@
 
 std::optional<attempt_outcome> gate_service::refusal_if_closed(const attempt& request,
                                                                time_point now) const {
-  if (!incarnation_ || request.service != service_) return refused(refusal::no_upstream);
+  if (request.service != service_) return refused(refusal::no_upstream);
+  if (!incarnation_ && awaits_heartbeat_)
+    return refused(refusal::no_upstream, heartbeat_retry_after,
+                   "no heartbeat since the agent started");
+  if (!incarnation_) return refused(refusal::no_upstream);
   const bool draining = draining_since_ && now >= *draining_since_ + settings_.drain / 2;
   if (stopping_ || draining) return refused(refusal::leaving);
   const bool moves_on = request.key && holder_ != nullptr;
@@ -133,6 +138,10 @@
   return std::nullopt;
 }
 
+bool gate_service::may_get_key_after_heartbeat(const attempt& request) const {
+  return awaits_heartbeat_ && request.service == service_ && request.key && holder_ != nullptr;
+}
+
 asio::awaitable<attempt_outcome> gate_service::serve(std::shared_ptr<attempt> request) {
   const auto arrived = boot_now();
   std::optional<time_point> began;
@@ -147,7 +156,9 @@
                                                               std::optional<time_point>& began) {
   ++counts_.offered;
   if (request->request_limit) queue_.limit_learned(*request->request_limit, boot_now());
-  auto refusal_outcome = refusal_if_closed(*request, boot_now());
+  std::optional<attempt_outcome> refusal_outcome;
+  if (!may_get_key_after_heartbeat(*request))
+    refusal_outcome = refusal_if_closed(*request, boot_now());
   if (!refusal_outcome && request->key && holder_ != nullptr) {
     refusal_outcome = co_await await_key(request);
     if (!refusal_outcome) {
--- a/src/fleet/internal/gate_service.h
+++ b/src/fleet/internal/gate_service.h
@@ -61,6 +61,8 @@
   /// Sets the incarnation, service and slots of the local upstream; no incarnation if it is absent.
   void update_upstream(std::optional<routing::upstream_incarnation> incarnation,
                        const std::string& service, std::uint32_t slots);
+  /// Sets whether this agent has restarted and waits for the first heartbeat of its upstream.
+  void set_awaits_heartbeat(bool awaits) { awaits_heartbeat_ = awaits; }
   /// Sets the start of draining, or nothing if the upstream is not draining.
   void set_draining_since(std::optional<time_point> when) { draining_since_ = when; }
   /// Sets the callback for an upstream that says in an answer that it leaves.
@@ -157,6 +159,8 @@
   void note_limit(const platform::answer_metadata& answer);
   [[nodiscard]] std::optional<attempt_outcome> refusal_if_closed(const attempt& request,
                                                                  time_point now) const;
+  /// Returns true if `request` can wait for its key, which is granted after the first heartbeat.
+  [[nodiscard]] bool may_get_key_after_heartbeat(const attempt& request) const;
   void carry_out(const requests::admission_actions& actions);
   /// Starts or refuses what waits after the upstream turned cold or warm, and logs that.
   void slow_start_changed(bool cold_before);
@@ -185,6 +189,7 @@
   requests::admission_id next_id_ = 1;
 
   std::optional<routing::upstream_incarnation> incarnation_;
+  bool awaits_heartbeat_ = false;
   std::string service_;
   std::optional<time_point> draining_since_;
   std::optional<time_point> evacuated_since_;
--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -184,6 +184,7 @@
                       current.incarnation.id == watch_.last()->incarnation.id;
   gate_.update_upstream(usable ? std::optional(current.incarnation) : std::nullopt, current.service,
                         current.slots);
+  gate_.set_awaits_heartbeat(watch_.last() && !watch_.settled(now));
   gate_.set_draining_since(watch_.draining_since());
   if (on_change_) on_change_();
   if (!publishing_ && published_ != current && watch_.settled(now)) spawn(executor_, publish());
--- a/tests/decisions/routing/upstream_directory_test.cpp
+++ b/tests/decisions/routing/upstream_directory_test.cpp
@@ -70,6 +70,16 @@
   expect_true(upstreams.reachable("near", start + seconds{1}));
 }
 
+Test(upstream_directory, an_agent_that_has_just_restarted_is_avoided_for_a_short_time_only) {
+  auto upstreams = directory();
+  for (int i = 0; i < 5; ++i) {
+    upstreams.sent("near");
+    upstreams.ended("near", attempt_health::starting, std::nullopt, start);
+  }
+  expect_equal(chosen(upstreams), "mid");
+  expect_equal(chosen(upstreams, {}, start + milliseconds{300}), "near");
+}
+
 Test(upstream_directory, failures_divert_requests) {
   auto upstreams = directory();
   for (int i = 0; i < 10; ++i) {
--- a/tests/fleet/gate_test.cpp
+++ b/tests/fleet/gate_test.cpp
@@ -192,6 +192,19 @@
   expect_equal(fixture.arrived, std::size_t{0});
 }
 
+Test(gate, says_when_to_come_back_while_its_agent_waits_for_the_first_heartbeat) {
+  gate_fixture fixture;
+  fixture.gate().update_upstream(std::nullopt, "ledger", 12);
+  const auto gone = fixture.offer();
+  expect_true(gone.why == refusal::no_upstream);
+  expect_true(health_of(gone) == routing::attempt_health::unreachable);
+  fixture.gate().set_awaits_heartbeat(true);
+  const auto starting = fixture.offer();
+  expect_true(starting.why == refusal::no_upstream && starting.retry_after > milliseconds{0});
+  expect_true(health_of(starting) == routing::attempt_health::starting);
+  expect_equal(fixture.arrived, 0U);
+}
+
 Test(gate, refuses_queued_requests_whose_region_a_new_version_withdraws) {
   gate_fixture fixture;
   fixture.work = milliseconds{150};
