--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,16 +4,17 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in ${CASES:-review/1[1-5]/case.cpp}; do
-  [ -e "$source" ] || continue
-  number=$(basename "$(dirname "$source")")
+for folder in ${CASES:-review/1[1-5]}; do
+  [ -e "$folder/play.cpp" ] || continue
   g++ -std=c++20 -O1 -fcoroutines -Wno-mismatched-new-delete \
     -DBOOST_ASIO_SEPARATE_COMPILATION -DBOOST_BEAST_SEPARATE_COMPILATION \
-    -Iinclude -Isrc -I. -Ireview -Ireview/common-3 -Itests "$source" -o "target/review-3/case-$number" \
-    target/libmasticshunt_shell.a target/libmasticshunt_decisions.a -lspdlog -lfmt -ldocopt -lpthread &
+    -Iinclude -Isrc -I. -Ireview -Ireview/common-3 -Itests \
+    "$folder/play.cpp" -o "target/review-3/case-$(basename "$folder")" \
+    target/libmasticshunt_shell.a target/libmasticshunt_decisions.a \
+    -lspdlog -lfmt -ldocopt -lpthread &
 done
 wait
-for source in ${CASES:-review/1[1-5]/case.cpp}; do
-  [ -e "$source" ] || continue
-  test -x "target/review-3/case-$(basename "$(dirname "$source")")"
+for folder in ${CASES:-review/1[1-5]}; do
+  [ -e "$folder/play.cpp" ] || continue
+  test -x "target/review-3/case-$(basename "$folder")"
 done
--- a/review/common-3/fleet.h
+++ b/review/common-3/fleet.h
@@ -217,6 +217,7 @@
   void finish() {
     stopping_ = true;
     for (const auto& each : agents_) each->stop(SIGKILL);
+    if (checker_.sent_total() == 0) return;
     std::string counts;
     for (const auto& [status, count] : checker_.by_status())
       counts += " " + std::to_string(status) + ":" + std::to_string(count);
