--- a/include/masticshunt/decisions/claims/claim_holder.h
+++ b/include/masticshunt/decisions/claims/claim_holder.h
@@ -95,6 +95,8 @@
 /// The lease comes from the leader's replies, or from renewing the lease record while the leader
 /// does not reply; each runs from when it was requested. No grant outlasts the lease, so once the
 /// lease has ended, the upstream is known to hold no keys.
+/// Registration and lease end with the store's era. Until the lease would have ended, the ranges
+/// held are kept, and reported to the leader of the new era, which takes them over.
 /// Grants travel by `grant_transport`; leases, fences and releases follow the same rules with both.
 /// Life cycle: one per process; call `tick` every `tick_interval` and pass in every answer.
 /// Thread safety: none.
@@ -126,6 +128,9 @@
   void set_load(std::vector<key_load> loads, duration service_time);
   /// Sets how many requests the upstream can run at once at present, for the next report.
   void set_slots(std::uint32_t slots) { slots_ = slots; }
+  /// The store is in `era`: what it said in earlier ones no longer counts.
+  void begin_era(store_era era, time_point now);
+  [[nodiscard]] store_era era() const { return era_; }
   /// Applies a map from any source if it is newer than the current one.
   void map_seen(const claim_map& map, time_point now);
   /// The store answered a call about the lease record that was sent at `sent`.
@@ -174,6 +179,8 @@
   struct held_range {
     key_range keys;
     std::uint64_t fence = 0;
+    /// Set while the range is held under a lease of an earlier era: the end of that lease.
+    std::optional<time_point> earlier_lease;
     std::string handover;
     range_state state = range_state::held;
     time_point usable_until{};      ///< By answered grants.
@@ -200,6 +207,19 @@
   /// Adds a range to the answer, joined to the last one if it continues it. Returns false if it
   /// does not fit.
   static bool append_range(const held_range& range, heartbeat_answer& answer, answer_size& size);
+  /// Returns when the lease ends under which `range` is held.
+  [[nodiscard]] time_point lease_end_of(const held_range& range) const {
+    return range.earlier_lease.value_or(lease_end());
+  }
+  /// Returns the earliest end of the leases under which ranges are held.
+  [[nodiscard]] time_point earliest_lease_end() const;
+  /// Returns true if the map is of the present era.
+  [[nodiscard]] bool map_in_force() const { return era_of(map_.revision) == era_; }
+  /// Returns true if `range`, of an earlier era, has neither been taken over nor assigned to
+  /// others.
+  [[nodiscard]] bool awaits_takeover(const held_range& range) const;
+  /// Returns the leader's address or, if it may be another agent, one of the candidates.
+  [[nodiscard]] endpoint next_report_target();
   void split_ranges(const key_range& keys);
   void reconcile(time_point now);
   void start_release(const key_range& keys, std::uint64_t fence, time_point now);
@@ -219,6 +239,10 @@
   endpoint address_;
   std::uint64_t incarnation_;
   claim_timing timing_;
+  store_era era_ = 0;
+  time_point era_began_{};  ///< When this process learned of the era.
+  /// Incarnation of the leader that was followed when an earlier era ended; zero: none.
+  std::uint64_t earlier_leader_ = 0;
   claim_map map_;
   std::optional<upstream_incarnation> upstream_;  ///< The last incarnation seen.
   bool upstream_present_ = false;
--- a/include/masticshunt/decisions/claims/claim_map.h
+++ b/include/masticshunt/decisions/claims/claim_map.h
@@ -10,6 +10,7 @@
 
 #include "masticshunt/base/failure.h"
 #include "masticshunt/base/identity.h"
+#include "masticshunt/base/store_revision.h"
 #include "masticshunt/base/time.h"
 #include "masticshunt/decisions/routing/upstream_directory.h"
 
@@ -38,11 +39,11 @@
   [[nodiscard]] std::uint32_t size() const { return last - first + 1; }
 };
 
-/// An agent in one of its registrations. A registration ends when its lease record is deleted;
-/// the store never reuses a registration number.
+/// An agent in one of its registrations. A registration ends when its lease record is deleted, and
+/// with the store's era; its number is the revision that created the record.
 struct holder_id {
   std::string agent;
-  std::uint64_t registration = 0;
+  store_revision registration = 0;  ///< Zero: of an earlier era, and not taken over into this one.
 
   auto operator<=>(const holder_id&) const = default;
 };
@@ -56,13 +57,27 @@
   std::string handover;           ///< State handed over by the previous upstream; may be empty.
 
   bool operator==(const claim&) const = default;
+
+  /// Returns true if the keys have not been assigned since the store's era began: an owner may
+  /// still have a lease on them from an earlier era.
+  [[nodiscard]] bool unsettled() const {
+    return holder.agent.empty() ? fence == 0 : holder.registration == 0;
+  }
 };
 
+/// Fencing tokens of one era; the store can't lose the count of them across its eras.
+inline constexpr std::uint64_t fences_per_era = 100'000'000'000;
+
+/// Returns the lowest fence that is given out in `era`: it is above those of all earlier eras.
+constexpr std::uint64_t first_fence_of(store_era era) {
+  return era * fences_per_era + 1;
+}
+
 /// The shard map of one service: all its claims, and the leader, the only agent that may change
 /// them.
 struct claim_map {
   std::string service;
-  std::uint64_t revision = 0;  ///< Assigned by the store; zero before the first write.
+  store_revision revision = 0;  ///< Assigned by the store; zero before the first write.
   /// Identifies a write, together with the writer and its incarnation.
   std::uint64_t write_counter = 0;
   std::string writer;  ///< The agent that wrote the map.
@@ -71,6 +86,8 @@
   std::uint64_t leader_incarnation = 0;
   /// For how long, from this write, leases of earlier leaders than `leader` may last.
   duration earlier_leases{};
+  /// For how long, from this write, leases of earlier eras of the store may last.
+  duration earlier_era_leases{};
   std::uint64_t next_fence = 1;
   std::vector<claim> claims;  ///< Sorted; every key is covered exactly once.
 
@@ -105,10 +122,19 @@
   bool operator==(const key_load&) const = default;
 };
 
+/// A range that an owner holds under a lease of an earlier era of the store.
+struct earlier_range {
+  key_range keys;
+  std::uint64_t fence = 0;
+
+  bool operator==(const earlier_range&) const = default;
+};
+
 /// Status report that an owner sends to the leader every `claim_timing::report_interval`, and
 /// sooner after a change.
 struct owner_report {
   std::string service;
+  store_era era = 0;  ///< Of the store, as far as the owner knows.
   holder_id holder;
   endpoint address;
   std::uint64_t agent_incarnation = 0;  ///< Identifies the agent's process.
@@ -119,13 +145,16 @@
   bool relocating = false;
   std::uint32_t slots = 1;
   duration service_time{};
-  std::uint64_t map_revision = 0;
+  store_revision map_revision = 0;
   /// Incarnation of the leader whose replies this owner no longer accepts; zero: none.
   std::uint64_t rejected_incarnation = 0;
   duration lease_remaining{};  ///< Remaining time of the lease granted by replies.
   bool takes_changes = false;  ///< Understands updates that are not complete maps.
   std::vector<released_range> released;
   std::vector<key_load> loads;
+  std::vector<earlier_range> earlier;  ///< Ranges to take over from an earlier era.
+  /// Incarnation of the leader that this owner followed when an earlier era ended; zero: none.
+  std::uint64_t earlier_leader = 0;
 
   bool operator==(const owner_report&) const = default;
 };
--- a/include/masticshunt/decisions/claims/leader.h
+++ b/include/masticshunt/decisions/claims/leader.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "masticshunt/decisions/claims/carried_claims.h"
 #include "masticshunt/decisions/claims/claim_holder.h"
 #include "masticshunt/decisions/claims/claim_map.h"
 
@@ -69,6 +70,12 @@
 /// the same way: a candidate overwrites a map revision that has not changed for `leader_lease`. It
 /// may write sooner once a majority of the owners has rejected the leader; the other owners may
 /// still get replies from that leader, and keep their keys until its lease has ended.
+///
+/// A map counts only in the era of the store in which it was written. When the store comes back
+/// from an older copy, the leader that runs on writes its map anew, at once; without it a candidate
+/// begins with an empty one. Owners hold on to their keys meanwhile and the leader takes over what
+/// they report; all other keys wait until no lease of an earlier era can be in force. Fences of a
+/// later era are above those of all earlier ones, so nothing depends on what the copy says.
 /// Life cycle: every agent has one for each keyed service; call `tick`, and pass in every answer.
 /// Thread safety: none.
 class leader {
@@ -76,6 +83,12 @@
   leader(std::string service, std::string agent, endpoint address, std::uint64_t incarnation,
          claim_timing timing, time_point now);
 
+  /// The store is in `era`: what it said in earlier ones no longer counts. Leases of earlier eras
+  /// end by `earlier_leases_end`.
+  void begin_era(store_era era, time_point earlier_leases_end, time_point now);
+  [[nodiscard]] store_era era() const { return era_; }
+  /// Returns true if this agent led last as far as it knows, so that it is to lead again.
+  [[nodiscard]] bool led_last() const { return carries_claims() || map_.leader == agent_; }
   /// Returns the actions that are due at `now`: reads, writes, deletions and pushes.
   leader_actions tick(time_point now);
   /// Returns the reply to an owner's report.
@@ -103,7 +116,7 @@
   /// there is none.
   [[nodiscard]] const claim_map& map() const { return map_; }
   /// Returns the changes that lead from `revision` to `map`.
-  [[nodiscard]] map_update changes_since(std::uint64_t revision) const {
+  [[nodiscard]] map_update changes_since(store_revision revision) const {
     return history_.changes_since(map_, revision);
   }
 
@@ -150,10 +163,22 @@
   /// succeeds it at `now`. `ended_itself`: it resigned, or was an earlier process of this agent.
   [[nodiscard]] time_point lease_end_of_predecessors(bool ended_itself, time_point now) const;
   void become_leader(const claim_map& written, time_point now);
+  /// Returns what the leader of the era that ends knows; nothing if another may have succeeded it.
+  [[nodiscard]] std::optional<carried_claims> carried_over(time_point now) const;
+  /// Notes whom the owner followed in the era before, which may show that no other agent led.
+  void note_earlier_leader(const owner_report& report);
+  /// Takes the ranges over into this era that their owners hold under leases of earlier ones.
+  void take_over_earlier_ranges(claim_map& next) const;
+  [[nodiscard]] bool led_alone() const { return carried_ && carried_->led_alone(); }
+  /// Returns true while no map of this era is known and this agent led in the one before.
+  [[nodiscard]] bool carries_claims() const { return carried_ && map_.revision == 0; }
+  /// Returns true if the owner has registered in this era, and the registration has not ended.
+  [[nodiscard]] bool registered(const owner_state& owner) const;
   void suspect_owners(time_point now, leader_actions& out);
   void propose(claim_map next, time_point now, leader_actions& out);
   void adopt(const claim_map& map, time_point now);
   [[nodiscard]] claim_map next_map(time_point now);
+  /// Makes the ranges free that their owners have released, or whose owners have ended.
   void free_claims(claim_map& next, time_point now) const;
   void assign_free(claim_map& next, time_point now);
   void merge_neighbours(claim_map& next, time_point now) const;
@@ -193,7 +218,7 @@
   /// Returns the service time of `to` divided by that of `from`; 1 if either is unknown.
   [[nodiscard]] double service_time_ratio(const std::string& from, const std::string& to) const;
   [[nodiscard]] bool eligible(const std::string& agent, time_point now) const;
-  [[nodiscard]] bool ownership_ended(const claim& claimed) const;
+  [[nodiscard]] bool ownership_ended(const claim& claimed, time_point now) const;
   [[nodiscard]] std::map<std::string, double> load_shares(const std::vector<claim>& claims,
                                                           time_point now) const;
   [[nodiscard]] double load_of(const key_range& keys) const;
@@ -213,6 +238,11 @@
   std::optional<std::size_t> candidate_rank_;
   bool resigning_ = false;
 
+  store_era era_ = 0;
+  time_point era_began_{};         ///< When this agent learned of the era.
+  time_point earlier_eras_end_{};  ///< No lease of an earlier era lasts longer.
+  std::optional<carried_claims> carried_;
+
   claim_map map_;
   claim_history history_;
   bool map_existence_known_ = false;  ///< The store answered whether a map exists.
@@ -223,10 +253,10 @@
   bool holds_ = false;
   bool incarnation_has_led_ = false;  ///< The next term needs another incarnation.
   bool write_conflict_ = false;       ///< The last write met another revision, not read back yet.
-  std::uint64_t incarnation_revision_ = 0;  ///< Of the first map with the current incarnation.
-  bool rejected_by_owner_ = false;          ///< An owner rejects the current incarnation.
-  time_point earlier_lease_end_{};          ///< Of all previous leaders.
-  std::uint64_t earlier_incarnation_ = 0;   ///< Of the previous leader.
+  store_revision incarnation_revision_ = 0;  ///< Of the first map with the current incarnation.
+  bool rejected_by_owner_ = false;           ///< An owner rejects the current incarnation.
+  time_point earlier_lease_end_{};           ///< Of all previous leaders.
+  std::uint64_t earlier_incarnation_ = 0;    ///< Of the previous leader.
   time_point leader_since_{};
   time_point leader_until_{};
   time_point last_write_{};
@@ -235,6 +265,7 @@
   bool write_outcome_unknown_ = false;
   /// When the first write after the last confirmed one was sent.
   std::optional<time_point> unconfirmed_write_since_;
+  std::size_t unconfirmed_writes_ = 0;  ///< Sent since then, unless the store refused the only one.
   time_point next_write_{};
   std::set<std::string> push_to_;  ///< Owners whose keys changed since the last push.
 
--- a/src/decisions/claims/claim_holder.cpp
+++ b/src/decisions/claims/claim_holder.cpp
@@ -27,6 +27,9 @@
 
 holder_actions claim_holder::tick(time_point now) {
   holder_actions out;
+  std::erase_if(ranges_, [now](const held_range& range) {
+    return range.earlier_lease && now >= *range.earlier_lease;
+  });
   for (held_range& range : ranges_) {
     if (range.state != range_state::expiring || now < range.held_until) continue;
     range.state = range_state::released;
@@ -91,8 +94,32 @@
   service_time_ = service_time;
 }
 
+void claim_holder::begin_era(store_era era, time_point now) {
+  if (era <= era_) return;
+  if (!ranges_.empty())
+    log_events_.push_back("era ended era=" + std::to_string(era_) +
+                          " pieces=" + std::to_string(ranges_.size()));
+  const bool followed = lease_granted_ && rejected_incarnation_ == 0 && map_in_force();
+  earlier_leader_ = followed ? map_.leader_incarnation : 0;
+  for (held_range& range : ranges_) range.earlier_lease = lease_end_of(range);
+  era_ = era;
+  era_began_ = now;
+  registration_.reset();
+  lease_by_reply_ = {};
+  lease_by_record_ = {};
+  lease_record_known_ = false;
+  lease_call_in_flight_ = false;
+  next_lease_call_ = now;
+  rejected_incarnation_ = 0;
+  last_reply_ = now;
+  next_candidate_ = 0;
+  report_requested_ = true;
+}
+
 void claim_holder::map_seen(const claim_map& map, time_point now) {
   if (map.service != service_ || map.revision <= map_.revision) return;
+  begin_era(era_of(map.revision), now);
+  if (era_of(map.revision) != era_) return;
   if (map.leader_incarnation != map_.leader_incarnation) {
     rejected_incarnation_ = 0;
     last_reply_ = now;
@@ -133,7 +160,7 @@
   }
   if (reply->update)
     if (const auto map = updated(map_, *reply->update)) map_seen(*map, now);
-  if (reply->leader_incarnation != map_.leader_incarnation) return;
+  if (!map_in_force() || reply->leader_incarnation != map_.leader_incarnation) return;
   if (reply->lease > duration{}) {
     lease_granted_ = true;
     lease_by_reply_ = std::max(lease_by_reply_, sent + reply->lease);
@@ -216,6 +243,18 @@
                                                                           : hold_state::not_owned;
 }
 
+time_point claim_holder::earliest_lease_end() const {
+  if (ranges_.empty()) return lease_end();
+  return lease_end_of(*std::ranges::min_element(
+      ranges_, {}, [this](const held_range& range) { return lease_end_of(range); }));
+}
+
+bool claim_holder::awaits_takeover(const held_range& range) const {
+  if (!range.earlier_lease) return false;
+  const claim* claimed = map_in_force() ? map_.find(range.keys.first) : nullptr;
+  return claimed == nullptr || claimed->unsettled();
+}
+
 bool claim_holder::empty(time_point now) const {
   return std::ranges::all_of(ranges_, [now](const held_range& range) {
     return range.state == range_state::released || now >= range.held_until;
@@ -239,13 +278,20 @@
 
 void claim_holder::reconcile(time_point now) {
   std::vector<claim> ours;
-  if (registration_ && upstream_) {
+  if (registration_ && upstream_ && map_in_force()) {
     std::ranges::copy_if(map_.claims, std::back_inserter(ours), [this](const claim& claimed) {
       return claimed.holder == holder_id{agent_, *registration_} && claimed.upstream == *upstream_;
     });
   }
   for (const claim& claimed : ours) split_ranges(claimed.keys);
   std::vector<held_range> next;
+  const auto is_earlier = [](const held_range& held) { return held.earlier_lease.has_value(); };
+  if (std::ranges::any_of(ranges_, is_earlier)) {
+    if (map_in_force())
+      for (const claim& claimed : map_.claims) split_ranges(claimed.keys);
+    std::ranges::copy_if(ranges_, std::back_inserter(next),
+                         [this](const held_range& held) { return awaits_takeover(held); });
+  }
   for (const claim& claimed : ours) {
     std::uint64_t covered = claimed.keys.first;
     const auto add = [&](std::uint64_t first, std::uint64_t last) {
@@ -265,6 +311,7 @@
       if (!claimed.keys.contains(held.keys) || held.fence > claimed.fence) continue;
       if (held.keys.first > covered) add(covered, held.keys.first - 1);
       covered = std::uint64_t{held.keys.last} + 1;
+      held.earlier_lease.reset();
       if (held.fence < claimed.fence) {
         held.fence = claimed.fence;
         held.state = range_state::held;
@@ -302,13 +349,13 @@
 
 void claim_holder::append_due_grants(time_point now, holder_actions& out) {
   if (!upstream_present_ || !lease_granted_ || address_failed_at_) return;
-  const duration remaining =
-      scaled(lease_end() - now - 2 * timing_.margin, 1 / (1 + timing_.upstream_clock_error));
-  const duration hold = std::min(restarting_ ? timing_.restart_lease : timing_.hold, remaining);
-  if (hold < shortest_hold) return;
   for (held_range& range : ranges_) {
     if (grants_in_flight_ >= timing_.grants_at_once) return;
     if (range.state != range_state::held || range.call != 0 || now < range.next_grant) continue;
+    const duration remaining = scaled(lease_end_of(range) - now - 2 * timing_.margin,
+                                      1 / (1 + timing_.upstream_clock_error));
+    const duration hold = std::min(restarting_ ? timing_.restart_lease : timing_.hold, remaining);
+    if (hold < shortest_hold) continue;
     range.call = next_call_++;
     range.next_grant = now + std::min(timing_.hold_renewal, hold / 2);
     range.held_until = std::max(
@@ -338,7 +385,9 @@
     return;
   }
   if (!registration_) {
-    if (!upstream_present_ || !upstream_ready_ || now < register_after_) return;
+    // An upstream that drains needs a registration only for the keys that it still holds.
+    if (!upstream_present_ || (!upstream_ready_ && ranges_.empty()) || now < register_after_)
+      return;
     lease_call_in_flight_ = true;
     out.emplace_back(create_lease{});
     return;
@@ -360,16 +409,17 @@
   report_in_flight_ = true;
   report_requested_ = false;
   next_report_ = now + timing_.report_interval;
-  endpoint to = map_.leader_address;
-  if (leaderless) {
-    // The leader has resigned; its successor replies with its map.
-    to = candidates_[next_candidate_++ % candidates_.size()];
-  } else if (rejected_incarnation_ != 0) {
-    // Reports also go to the rejected leader: if it still runs, it starts a new incarnation.
-    const std::size_t index = next_candidate_++ % (candidates_.size() + 1);
-    if (index < candidates_.size()) to = candidates_[index];
-  }
-  out.emplace_back(send_report{std::move(to), make_report(now)});
+  out.emplace_back(send_report{next_report_target(), make_report(now)});
+}
+
+endpoint claim_holder::next_report_target() {
+  // The leader has resigned; its successor replies with its map.
+  if (map_.leader_address.empty()) return candidates_[next_candidate_++ % candidates_.size()];
+  if (rejected_incarnation_ == 0 && map_in_force()) return map_.leader_address;
+  // Reports also go to the rejected leader: if it still runs, it starts a new incarnation. The
+  // leader of an earlier era is likely to lead again.
+  const std::size_t index = next_candidate_++ % (candidates_.size() + 1);
+  return index == 0 ? map_.leader_address : candidates_[index - 1];
 }
 
 void claim_holder::revoke(const std::string& why) {
@@ -387,6 +437,7 @@
 
 owner_report claim_holder::make_report(time_point now) const {
   owner_report report{.service = service_,
+                      .era = era_,
                       .holder = {agent_, registration_.value_or(0)},
                       .address = address_,
                       .agent_incarnation = incarnation_,
@@ -401,6 +452,13 @@
                       .lease_remaining = std::max(duration{}, lease_by_reply_ - now),
                       .takes_changes = true,
                       .loads = loads_};
+  const bool earlier_leader_may_count = now - era_began_ < timing_.leader_lease + timing_.margin;
+  if (earlier_leader_may_count) report.earlier_leader = earlier_leader_;
+  for (const held_range& range : ranges_) {
+    const bool holds = range.state == range_state::held || range.state == range_state::releasing;
+    if (holds && range.earlier_lease && now < *range.earlier_lease)
+      report.earlier.push_back({range.keys, range.fence});
+  }
   for (const held_range& range : ranges_)
     if (range.state == range_state::released)
       report.released.push_back({range.keys, range.fence, range.released_handover});
--- a/src/decisions/claims/claim_map.cpp
+++ b/src/decisions/claims/claim_map.cpp
@@ -104,17 +104,20 @@
   json packed_holders = json::array();
   for (const auto& [holder, incarnation] : holders)
     packed_holders.push_back(json::array({pack(holder), pack(incarnation)}));
-  return {{"service", map.service},
-          {"revision", map.revision},
-          {"beat", map.write_counter},
-          {"writer", map.writer},
-          {"leader", map.leader},
-          {"leader_address", map.leader_address},
-          {"leader_life", map.leader_incarnation},
-          {"earlier_leases_us", microseconds_in(map.earlier_leases)},
-          {"next_fence", map.next_fence},
-          {"holders", std::move(packed_holders)},
-          {"claims", std::move(claims)}};
+  json out{{"service", map.service},
+           {"revision", map.revision},
+           {"beat", map.write_counter},
+           {"writer", map.writer},
+           {"leader", map.leader},
+           {"leader_address", map.leader_address},
+           {"leader_life", map.leader_incarnation},
+           {"earlier_leases_us", microseconds_in(map.earlier_leases)},
+           {"next_fence", map.next_fence},
+           {"holders", std::move(packed_holders)},
+           {"claims", std::move(claims)}};
+  if (map.earlier_era_leases > duration{})
+    out["earlier_eras_us"] = microseconds_in(map.earlier_era_leases);
+  return out;
 }
 claim_map unpack_map(const json& in) {
   claim_map map;
@@ -126,6 +129,7 @@
   map.leader_address = in.at("leader_address").get<std::string>();
   map.leader_incarnation = in.at("leader_life").get<std::uint64_t>();
   map.earlier_leases = std::chrono::microseconds{in.value("earlier_leases_us", std::int64_t{0})};
+  map.earlier_era_leases = std::chrono::microseconds{in.value("earlier_eras_us", std::int64_t{0})};
   map.next_fence = in.at("next_fence").get<std::uint64_t>();
   for (const json& each : in.at("claims"))
     map.claims.push_back(unpack_claim(each, in.at("holders")));
@@ -162,29 +166,44 @@
   return out;
 }
 
+void pack_earlier_era(const owner_report& report, json& out) {
+  if (report.earlier_leader != 0) out["earlier_leader"] = report.earlier_leader;
+  for (const auto& each : report.earlier)
+    out["earlier"].push_back(json::array({pack(each.keys), each.fence}));
+}
+void unpack_earlier_era(const json& in, owner_report& report) {
+  report.earlier_leader = in.value("earlier_leader", std::uint64_t{0});
+  for (const json& each : in.value("earlier", json::array()))
+    report.earlier.push_back({unpack_range(each.at(0)), each.at(1).get<std::uint64_t>()});
+}
+
 json pack(const owner_report& report) {
   json loads = json::array();
   for (const auto& each : report.loads) loads.push_back(json::array({pack(each.keys), each.slots}));
-  return {{"service", report.service},
-          {"holder", pack(report.holder)},
-          {"address", report.address},
-          {"agent_life", report.agent_incarnation},
-          {"upstream", pack(report.upstream)},
-          {"accepting", report.accepting},
-          {"restarting", report.restarting},
-          {"relocating", report.relocating},
-          {"slots", report.slots},
-          {"service_us", microseconds_in(report.service_time)},
-          {"map", report.map_revision},
-          {"rejected", report.rejected_incarnation},
-          {"right_left_us", microseconds_in(report.lease_remaining)},
-          {"changes", report.takes_changes},
-          {"released", pack(report.released)},
-          {"loads", std::move(loads)}};
+  json out{{"service", report.service},
+           {"era", report.era},
+           {"holder", pack(report.holder)},
+           {"address", report.address},
+           {"agent_life", report.agent_incarnation},
+           {"upstream", pack(report.upstream)},
+           {"accepting", report.accepting},
+           {"restarting", report.restarting},
+           {"relocating", report.relocating},
+           {"slots", report.slots},
+           {"service_us", microseconds_in(report.service_time)},
+           {"map", report.map_revision},
+           {"rejected", report.rejected_incarnation},
+           {"right_left_us", microseconds_in(report.lease_remaining)},
+           {"changes", report.takes_changes},
+           {"released", pack(report.released)},
+           {"loads", std::move(loads)}};
+  pack_earlier_era(report, out);
+  return out;
 }
 owner_report unpack_report(const json& in) {
   owner_report report;
   report.service = in.at("service").get<std::string>();
+  report.era = in.value("era", store_era{0});
   report.holder = unpack_holder(in.at("holder"));
   report.address = in.at("address").get<std::string>();
   report.agent_incarnation = in.at("agent_life").get<std::uint64_t>();
@@ -201,6 +220,7 @@
   report.released = unpack_released(in.at("released"));
   for (const json& each : in.at("loads"))
     report.loads.push_back({unpack_range(each.at(0)), each.at(1).get<double>()});
+  unpack_earlier_era(in, report);
   return report;
 }
 
--- a/src/decisions/claims/heartbeat_grants.cpp
+++ b/src/decisions/claims/heartbeat_grants.cpp
@@ -98,8 +98,8 @@
 duration claim_holder::hold_from(time_point arrived) const {
   if (!upstream_present_ || !lease_granted_) return {};
   // The hold runs from when the upstream sent the heartbeat, which was before it arrived.
-  const duration in_lease =
-      scaled(lease_end() - timing_.margin - arrived, 1 / (1 + timing_.upstream_clock_error));
+  const duration in_lease = scaled(earliest_lease_end() - timing_.margin - arrived,
+                                   1 / (1 + timing_.upstream_clock_error));
   return std::min(restarting_ ? timing_.restart_lease : timing_.hold, in_lease);
 }
 
--- a/src/decisions/claims/leader.cpp
+++ b/src/decisions/claims/leader.cpp
@@ -64,21 +64,24 @@
 void leader::seek_leadership(time_point now, leader_actions& out) {
   if (resigning_) return;
   const bool led_before = map_.revision > 0 && map_.leader == agent_;
-  if (!candidate_rank_ && !led_before) return;
+  if (!candidate_rank_ && !led_last()) return;
   const duration stagger = candidate_stagger * (led_before ? 0 : candidate_rank_.value_or(0));
   const bool no_map = map_existence_known_ && map_.revision == 0 &&
-                      now >= started_at_ + first_leader_delay + stagger;
+                      now >= std::max(started_at_, era_began_) + first_leader_delay + stagger;
   const bool resigned =
       map_.revision > 0 && map_.leader.empty() && now >= revision_since_ + stagger;
   const bool abandoned =
       map_.revision > 0 && now >= revision_since_ + timing_.leader_lease + timing_.margin + stagger;
   const bool rejected_by_owners = map_.revision > 0 && rejected_by_majority(now);
-  if (no_map || resigned || abandoned || led_before || rejected_by_owners) {
+  if (carries_claims() || no_map || resigned || abandoned || led_before || rejected_by_owners) {
     const bool ended_itself = resigned || led_before;
-    earlier_lease_end_ = no_map || abandoned ? now : lease_end_of_predecessors(ended_itself, now);
+    const bool none_before = carries_claims() || no_map || abandoned;
+    earlier_lease_end_ = none_before ? now : lease_end_of_predecessors(ended_itself, now);
     earlier_incarnation_ = map_.leader_incarnation;
     if (std::exchange(incarnation_has_led_, false)) ++incarnation_;
-    claim_map next = map_.revision == 0 ? empty_map(service_) : map_;
+    claim_map next = carries_claims()     ? carried_->map()
+                     : map_.revision == 0 ? empty_map(service_)
+                                          : map_;
     next.leader = agent_;
     next.leader_address = address_;
     next.leader_incarnation = incarnation_;
@@ -128,6 +131,9 @@
   next.leader_incarnation = incarnation_;
   next.earlier_leases =
       std::chrono::ceil<std::chrono::microseconds>(std::max(duration{}, earlier_lease_end_ - now));
+  next.earlier_era_leases =
+      std::chrono::ceil<std::chrono::microseconds>(std::max(duration{}, earlier_eras_end_ - now));
+  next.next_fence = std::max(next.next_fence, first_fence_of(era_));
   for (claim& claimed : next.claims) {
     const auto since = fence_since_.find(claimed.fence);
     if (since != fence_since_.end() && now - since->second > handover_lifetime)
@@ -135,6 +141,7 @@
   }
   pending_ = std::move(next);
   if (!unconfirmed_write_since_) unconfirmed_write_since_ = now;
+  ++unconfirmed_writes_;
   write_in_flight_ = true;
   out.emplace_back(write_map{*pending_, map_.revision});
 }
@@ -149,6 +156,8 @@
   history_.adopt(map_, map);
   map_ = map;
   revision_since_ = now;
+  unconfirmed_writes_ = 0;
+  earlier_eras_end_ = std::min(earlier_eras_end_, now + map.earlier_era_leases);
   for (const claim& each : map_.claims) fence_since_.try_emplace(each.fence, now);
   std::erase_if(fence_since_, [this](const auto& entry) {
     return std::ranges::find(map_.claims, entry.first, &claim::fence) == map_.claims.end();
@@ -166,8 +175,10 @@
 }
 
 void leader::map_seen(const claim_map& map, time_point now) {
+  if (map.service != service_) return;
+  begin_era(era_of(map.revision), now + timing_.leader_lease + timing_.margin, now);
   // While this agent leads, it is the only writer, so no other map can be newer.
-  if (map.service == service_ && !holds_) adopt(map, now);
+  if (!holds_ && era_of(map.revision) == era_) adopt(map, now);
 }
 
 void leader::map_read(bool answered, const std::optional<claim_map>& map, time_point now) {
@@ -205,6 +216,7 @@
   write_in_flight_ = false;
   if (result == write_result::refused) {
     next_write_ = now + refused_write_pause;
+    if (unconfirmed_writes_ == 1) unconfirmed_writes_ = 0;
     return;
   }
   if (result != write_result::applied) {
@@ -240,8 +252,11 @@
 }
 
 leader_reply leader::report_received(const owner_report& report, time_point now) {
+  if (report.service == service_)
+    begin_era(report.era, now + timing_.leader_lease + timing_.margin, now);
   leader_reply reply{.is_leader = leads(now), .leader_incarnation = map_.leader_incarnation};
   if (report.service != service_) return reply;
+  note_earlier_leader(report);
   if (!reply.is_leader) {
     owner_state& reporter = owners_[report.holder.agent];
     reporter.report = report;
@@ -273,8 +288,7 @@
   const bool earlier_process_may_count =
       process_restarted && (write_in_flight_ || write_outcome_unknown_);
   if (!earlier_process_may_count) owner.agent_incarnation = report.agent_incarnation;
-  const bool may_renew =
-      registration > owner.ended_registration && !owner.deleting && !earlier_process_may_count;
+  const bool may_renew = registered(owner) && !earlier_process_may_count;
   if (report.rejected_incarnation == map_.leader_incarnation) rejected_by_owner_ = true;
   const duration lease = report.restarting ? timing_.restart_lease : timing_.reply_lease;
   if (may_renew && now + lease < leader_until_) {
@@ -283,7 +297,7 @@
   }
   for (const planned_move& each : planned_moves_)
     if (each.from == report.holder.agent) reply.to_release.push_back(each.range);
-  if (!report.released.empty()) next_write_ = std::min(next_write_, now);
+  if (!report.released.empty() || !report.earlier.empty()) next_write_ = std::min(next_write_, now);
   return reply;
 }
 
@@ -415,6 +429,7 @@
 
 claim_map leader::next_map(time_point now) {
   claim_map next = map_;
+  take_over_earlier_ranges(next);
   free_claims(next, now);
   assign_free(next, now);
   return next;
@@ -425,6 +440,7 @@
     for (const released_range& range : owner.report.released) {
       const claim* named = next.find(range.keys.first);
       if (named == nullptr || named->fence != range.fence || named->holder.agent != agent) continue;
+      if (named->unsettled() && !led_alone()) continue;
       split_at(next.claims, range.keys);
       for (claim& claimed : next.claims) {
         if (claimed.fence != range.fence || !range.keys.contains(claimed.keys)) continue;
@@ -434,19 +450,22 @@
     }
   }
   for (claim& claimed : next.claims) {
-    if (claimed.holder.agent.empty() || !ownership_ended(claimed)) continue;
+    if (claimed.holder.agent.empty() || !ownership_ended(claimed, now)) continue;
     claimed.holder = {};
     claimed.handover.clear();
   }
-  static_cast<void>(now);
 }
 
-bool leader::ownership_ended(const claim& claimed) const {
+bool leader::ownership_ended(const claim& claimed, time_point now) const {
+  if (claimed.unsettled() && now >= earlier_eras_end_) return true;
   const auto found = owners_.find(claimed.holder.agent);
   if (found == owners_.end()) return false;
   const owner_state& owner = found->second;
-  if (claimed.holder.registration <= owner.ended_registration) return true;
   const owner_report& report = owner.report;
+  if (claimed.unsettled())
+    return led_alone() && registered(owner) && !report.upstream.id.empty() &&
+           report.upstream != claimed.upstream;
+  if (claimed.holder.registration <= owner.ended_registration) return true;
   return report.holder.registration == claimed.holder.registration && !report.upstream.id.empty() &&
          report.upstream != claimed.upstream;
 }
@@ -455,8 +474,8 @@
   const auto found = owners_.find(agent);
   if (found == owners_.end()) return false;
   const owner_state& owner = found->second;
-  return owner.report.accepting && owner.report.holder.registration > owner.ended_registration &&
-         !owner.deleting && now - owner.last_report < timing_.owner_suspicion_timeout;
+  return owner.report.accepting && registered(owner) &&
+         now - owner.last_report < timing_.owner_suspicion_timeout;
 }
 
 }  // namespace masticshunt::claims
--- a/src/decisions/claims/placement.cpp
+++ b/src/decisions/claims/placement.cpp
@@ -94,7 +94,9 @@
 }
 
 void leader::assign_free(claim_map& next, time_point now) {
-  const auto is_free = [](const claim& each) { return each.holder.agent.empty(); };
+  const auto is_free = [this, now](const claim& each) {
+    return each.holder.agent.empty() && (!each.unsettled() || now >= earlier_eras_end_);
+  };
   if (std::ranges::none_of(next.claims, is_free)) return;
   auto shares = load_shares(next.claims, now);
   if (shares.empty()) return;
@@ -143,7 +145,7 @@
       return each.range.fence == claimed.fence;
     });
     return since != fence_since_.end() && now - since->second > merge_age && !moving &&
-           eligible(claimed.holder.agent, now);
+           !claimed.unsettled() && eligible(claimed.holder.agent, now);
   };
   std::vector<claim> merged;
   bool run_merged = false;
@@ -170,6 +172,7 @@
     const auto found = owners_.find(claimed.holder.agent);
     if (found == owners_.end() || found->second.report.accepting) continue;
     if (found->second.report.upstream.id.empty() || shares.empty()) continue;
+    if (claimed.unsettled()) continue;
     if (!found->second.report.relocating && !moves(claimed)) plan_release(claimed, now);
   }
 }
@@ -194,6 +197,7 @@
   for (const claim& claimed : map_.claims) {
     const auto found = owners_.find(claimed.holder.agent);
     if (found == owners_.end() || !found->second.report.relocating) continue;
+    if (claimed.unsettled()) continue;
     if (moves(claimed))
       ++under_way;
     else
@@ -249,7 +253,7 @@
 bool leader::movable(const key_load& range_load, const std::string& from) const {
   const claim* claimed = map_.find(range_load.keys.first);
   return range_load.slots > 0 && claimed != nullptr && claimed->holder.agent == from &&
-         claimed->keys.contains(range_load.keys) &&
+         !claimed->unsettled() && claimed->keys.contains(range_load.keys) &&
          std::ranges::none_of(planned_moves_, [&](const planned_move& each) {
            return each.range.keys.overlaps(range_load.keys);
          });
@@ -371,7 +375,7 @@
   next_fragment_moves_ = now + fragment_moves_interval;
   const auto settled = [&](const claim& claimed) {
     const auto since = fence_since_.find(claimed.fence);
-    return since != fence_since_.end() && now - since->second > merge_age &&
+    return since != fence_since_.end() && now - since->second > merge_age && !claimed.unsettled() &&
            eligible(claimed.holder.agent, now);
   };
   const auto shares = load_shares(map_.claims, now);
--- a/src/fleet/internal/agent_gauges.cpp
+++ b/src/fleet/internal/agent_gauges.cpp
@@ -98,6 +98,8 @@
     gauge_definition{
         "masticshunt_store_reached", "1 while the store answers",
         [](const gauge_sources& sources) { return sources.store.reached() ? 1.0 : 0.0; }},
+    gauge_definition{"masticshunt_store_era", "Era of the store: rises when it lost what it had",
+                     [](const gauge_sources& sources) { return count(sources.store.era()); }},
     gauge_definition{
         "masticshunt_store_calls_total", "Calls to the store",
         [](const gauge_sources& sources) { return count(sources.store.counts().calls); }},
--- a/src/fleet/internal/claims_driver.cpp
+++ b/src/fleet/internal/claims_driver.cpp
@@ -59,6 +59,7 @@
       key_calls_(gate, timing_, log) {
   timing_.hold = std::min<duration>(timing_.hold, settings.hold_max);
   timing_.restart_lease = std::min<duration>(timing_.restart_lease, settings.hold_max);
+  store_.on_era([this](store_era era) { begin_era(era, boot_now()); });
   gate_.on_missing_key([this](claims::shard_key key) {
     if (holder_) holder_->refused_by_upstream(key, boot_now());
   });
@@ -82,14 +83,27 @@
   }
   bool any_candidate = false;
   for (const auto& [service, leader] : leaders_) {
-    const bool held_before = leader->map().leader == settings_.name;
-    if (!is_candidate_[service] && !held_before) continue;
+    if (!is_candidate_[service] && !leader->led_last()) continue;
     any_candidate = true;
     for (const auto& action : leader->tick(now)) carry_out(service, action);
   }
   return holder_ != nullptr || any_candidate;
 }
 
+void claims_driver::begin_era(store_era era, time_point now) {
+  // Only the first start of the whole system can be sure that nobody led before.
+  const bool first_known = earlier_leases_end_ == time_point{};
+  const duration earlier_leases =
+      settings_.first_start && first_known ? duration{} : timing_.leader_lease + timing_.margin;
+  earlier_leases_end_ = now + earlier_leases;
+  if (holder_) holder_->begin_era(era, now);
+  for (const auto& [service, leader] : leaders_) {
+    leader->begin_era(era, earlier_leases_end_, now);
+    if (const auto* map = view_.find_map(service); map != nullptr && era_of(map->revision) < era)
+      refresh_map(service);
+  }
+}
+
 void claims_driver::fleet_changed(time_point now) {
   for (const auto& [name, service] : view_.routes().state().services) {
     if (!service.keyed) continue;
@@ -97,6 +111,7 @@
     if (!leader) {
       leader = std::make_unique<claims::leader>(name, settings_.name, settings_.peer_address(),
                                                 incarnation_, timing_, now);
+      if (store_.era_known()) leader->begin_era(store_.era(), earlier_leases_end_, now);
       if (const auto* map = view_.find_map(name)) leader->map_seen(*map, now);
     }
     const auto order = claims::leader_candidates(view_.directory.all(), name, candidates_max);
@@ -126,6 +141,7 @@
         std::make_unique<claims::claim_holder>(service, settings_.name, settings_.peer_address(),
                                                incarnation_, timing_, now, settings_.grants);
     holder_->set_relocating(relocating_);
+    if (store_.era_known()) holder_->begin_era(store_.era(), now);
     gate_.set_holder(holder_.get());
     if (const auto* map = view_.find_map(service)) holder_->map_seen(*map, now);
   }
@@ -149,6 +165,7 @@
 }
 
 void claims_driver::map_seen(const claims::claim_map& map, time_point now) {
+  store_.era_seen(era_of(map.revision));
   view_.update_map(map);
   if (holder_) holder_->map_seen(map, now);
   if (const auto found = leaders_.find(map.service); found != leaders_.end())
@@ -164,7 +181,7 @@
 }
 
 std::optional<claims::map_update> claims_driver::changes_since(const std::string& service,
-                                                               std::uint64_t revision) const {
+                                                               store_revision revision) const {
   const auto* map = view_.find_map(service);
   if (map == nullptr) return std::nullopt;
   const auto found = leaders_.find(service);
@@ -176,10 +193,11 @@
 
 claims::leader_reply claims_driver::report_received(const claims::owner_report& report,
                                                     time_point now) {
+  store_.era_seen(report.era);
   const auto found = leaders_.find(report.service);
   if (found == leaders_.end()) return {};
   auto reply = found->second->report_received(report, now);
-  if (!report.released.empty())
+  if (!report.released.empty() || !report.earlier.empty())
     for (const auto& action : found->second->tick(now)) carry_out(report.service, action);
   return reply;
 }
@@ -196,12 +214,16 @@
 
 void claims_driver::carry_out(const claims::holder_action& action) {
   const auto start = [this](asio::awaitable<void> work) { spawn(executor_, std::move(work)); };
+  const auto lease_name = [this](const std::string& agent) {
+    return platform::name_in_era(agent, holder_->era());
+  };
   if (std::holds_alternative<claims::read_lease>(action)) {
-    start(call_lease(platform::read_object(platform::kind_leases, settings_.name), false));
+    start(call_lease(platform::read_object(platform::kind_leases, lease_name(settings_.name)),
+                     false));
   } else if (std::holds_alternative<claims::create_lease>(action)) {
-    start(call_lease(
-        platform::create_object(platform::kind_leases, settings_.name, lease_text(settings_)),
-        true));
+    start(call_lease(platform::create_object(platform::kind_leases, lease_name(settings_.name),
+                                             lease_text(settings_)),
+                     true));
   } else if (const auto* renew = std::get_if<claims::renew_lease>(&action)) {
     // The store raises the revision only if the content changes, so each renewal must differ.
     const auto text = nlohmann::json{
@@ -209,9 +231,9 @@
         {"after", renew->revision},
         {"life",
          incarnation_}}.dump();
-    start(call_lease(
-        platform::replace_object(platform::kind_leases, settings_.name, text, renew->revision),
-        true));
+    start(call_lease(platform::replace_object(platform::kind_leases, lease_name(settings_.name),
+                                              text, renew->revision),
+                     true));
   } else if (const auto* send = std::get_if<claims::send_report>(&action)) {
     start(report(*send));
   } else if (const auto* grant_now = std::get_if<claims::grant_keys>(&action)) {
@@ -240,16 +262,32 @@
   }
 }
 
+bool claims_driver::in_era(const std::string& service, store_era era) const {
+  return leaders_.at(service)->era() == era;
+}
+
+asio::awaitable<void> claims_driver::discard_of_earlier_era(std::string kind, std::string name,
+                                                            store_era era) {
+  if (era <= first_store_era) co_return;
+  // Without success the object stays, which does no harm.
+  co_await store_.call(
+      platform::delete_object(kind, platform::name_in_era(name, era - 1), std::nullopt),
+      timing_.call_timeout);
+}
+
 asio::awaitable<void> claims_driver::call_lease(platform::call call, bool writes) {
   const auto sent = boot_now();
+  const auto era = holder_->era();
   const auto answer = co_await store_.call(std::move(call), timing_.call_timeout);
+  // The call was about the record of an era that has ended.
+  if (!holder_ || holder_->era() != era) co_return;
   claims::lease_answer lease;
   lease.answered = answer.verdict == store_verdict::done ||
                    answer.verdict == store_verdict::missing ||
                    answer.verdict == store_verdict::conflict;
   failure reason;
   if (lease.answered && answer.verdict != store_verdict::missing) {
-    if (const auto object = platform::decode_object(answer.body, reason)) {
+    if (const auto object = answer.object(reason)) {
       lease.registration = object->created;
       lease.revision = object->revision;
       lease.written = writes && answer.done();
@@ -258,8 +296,11 @@
       log_event("lease_unreadable why=\"" + reason.describe() + "\"");
     }
   }
-  if (holder_) holder_->lease_seen(lease, sent, boot_now());
+  const bool created = lease.written && lease.registration == lease.revision;
+  holder_->lease_seen(lease, sent, boot_now());
   tick(boot_now());
+  if (created)
+    co_await discard_of_earlier_era(std::string(platform::kind_leases), settings_.name, era);
 }
 
 asio::awaitable<exchange_outcome> claims_driver::call_peer(endpoint to, std::string method,
@@ -293,6 +334,7 @@
   }
   if (!holder_) co_return;
   const auto now = boot_now();
+  if (reply && reply->update) store_.era_seen(era_of(reply->update->map.revision));
   holder_->leader_answered(reply, sent, now);
   if (reply && reply->update) view_.update_map(holder_->map());
   if (!reply || !reply->is_leader) refresh_map(holder_service_);
@@ -315,17 +357,20 @@
 }
 
 asio::awaitable<void> claims_driver::read_leader_map(std::string service) {
-  const auto answer = co_await store_.call(platform::read_object(platform::kind_claims, service),
-                                           timing_.call_timeout);
-  const auto now = boot_now();
   auto& leader = *leaders_.at(service);
+  const auto era = leader.era();
+  const auto answer = co_await store_.call(
+      platform::read_object(platform::kind_claims, platform::name_in_era(service, era)),
+      timing_.call_timeout);
+  if (leader.era() != era) co_return;
+  const auto now = boot_now();
   if (answer.verdict == store_verdict::missing) {
     leader.map_read(true, std::nullopt, now);
   } else {
     failure reason;
     std::optional<claims::claim_map> map;
     if (answer.done()) {
-      if (const auto object = platform::decode_object(answer.body, reason)) {
+      if (const auto object = answer.object(reason)) {
         map = claims::map_from_json_text(object->spec, reason);
         if (map) map->revision = object->revision;
       }
@@ -341,40 +386,48 @@
 asio::awaitable<void> claims_driver::write_leader_map(std::string service,
                                                       claims::write_map write) {
   const auto sent = boot_now();
+  auto& leader = *leaders_.at(service);
+  const auto era = leader.era();
+  const auto name = platform::name_in_era(service, era);
   const auto text = claims::to_json_text(write.map);
-  const auto call =
-      write.expected_revision == 0
-          ? platform::create_object(platform::kind_claims, service, text)
-          : platform::replace_object(platform::kind_claims, service, text, write.expected_revision);
+  const bool creates = write.expected_revision == 0;
+  const auto call = creates ? platform::create_object(platform::kind_claims, name, text)
+                            : platform::replace_object(platform::kind_claims, name, text,
+                                                       write.expected_revision);
   const auto answer = co_await store_.call(call, timing_.call_timeout);
+  if (leader.era() != era) co_return;
   auto result = write_result_of(answer);
-  std::uint64_t revision = 0;
+  store_revision revision = 0;
   if (result == claims::write_result::applied) {
     failure reason;
-    if (const auto object = platform::decode_object(answer.body, reason)) {
+    if (const auto object = answer.object(reason)) {
       revision = object->revision;
     } else {
       result = claims::write_result::no_answer;
     }
   }
   const auto now = boot_now();
-  auto& leader = *leaders_.at(service);
   leader.map_written(result, revision, sent, now);
   if (result == claims::write_result::applied) {
     view_.update_map(leader.map());
     if (holder_) holder_->map_seen(leader.map(), now);
   }
   tick(now);
+  if (creates && result == claims::write_result::applied)
+    co_await discard_of_earlier_era(std::string(platform::kind_claims), service, era);
 }
 
 asio::awaitable<void> claims_driver::read_owner_lease(std::string service, std::string agent) {
-  const auto answer = co_await store_.call(platform::read_object(platform::kind_leases, agent),
-                                           timing_.call_timeout);
+  const auto era = leaders_.at(service)->era();
+  const auto answer = co_await store_.call(
+      platform::read_object(platform::kind_leases, platform::name_in_era(agent, era)),
+      timing_.call_timeout);
+  if (!in_era(service, era)) co_return;
   claims::lease_answer lease;
   failure reason;
   if (answer.verdict == store_verdict::missing) lease.answered = true;
   if (answer.done()) {
-    if (const auto object = platform::decode_object(answer.body, reason)) {
+    if (const auto object = answer.object(reason)) {
       lease = {.answered = true, .registration = object->created, .revision = object->revision};
     }
   }
@@ -383,9 +436,12 @@
 
 asio::awaitable<void> claims_driver::delete_owner_lease(std::string service,
                                                         claims::delete_owner_lease request) {
+  const auto era = leaders_.at(service)->era();
   const auto answer = co_await store_.call(
-      platform::delete_object(platform::kind_leases, request.agent, request.revision),
+      platform::delete_object(platform::kind_leases, platform::name_in_era(request.agent, era),
+                              request.revision),
       timing_.call_timeout);
+  if (!in_era(service, era)) co_return;
   const auto result = write_result_of(answer);
   leaders_.at(service)->owner_lease_deleted(request.agent, result, boot_now());
   tick(boot_now());
@@ -424,20 +480,22 @@
         exchange.body->fully_buffered()) {
       const auto update = claims::update_from_cbor_bytes(exchange.body->buffered(), reason);
       cached = view_.find_map(service);
-      if (const auto map = update ? claims::updated(*cached, *update) : std::nullopt) {
-        map_seen(*map, boot_now());
-        co_return;
-      }
+      const auto map = update ? claims::updated(*cached, *update) : std::nullopt;
+      if (map) map_seen(*map, boot_now());
+      // A leader of an earlier era may know no later map.
+      if (map && era_of(map->revision) >= store_.era()) co_return;
     }
   }
   refresh_after_[service] = boot_now() + 3 * refresh_interval;
   // Without a map, any one shows the leader; after a failure of the leader only the newest will do.
   const auto data =
       cached == nullptr ? platform::freshness::seconds_old : platform::freshness::current;
+  const auto era = store_.era();
   const auto answer = co_await store_.call(
-      platform::read_object(platform::kind_claims, service, data), timing_.call_timeout);
-  if (!answer.done()) co_return;
-  const auto object = platform::decode_object(answer.body, reason);
+      platform::read_object(platform::kind_claims, platform::name_in_era(service, era), data),
+      timing_.call_timeout);
+  if (!answer.done() || answer.era != era) co_return;
+  const auto object = answer.object(reason);
   auto map = object ? claims::map_from_json_text(object->spec, reason) : std::nullopt;
   if (!map) {
     log_event("claims_unreadable service=" + service + " why=\"" + reason.describe() + "\"");
--- a/src/fleet/internal/claims_driver.h
+++ b/src/fleet/internal/claims_driver.h
@@ -34,6 +34,8 @@
 
   /// Executes the actions that are due at `now`. Returns false if no further ticks are needed.
   bool tick(time_point now);
+  /// The store is in `era`: what it said in earlier ones no longer counts.
+  void begin_era(store_era era, time_point now);
   /// Handles a change of the known services or agents.
   void fleet_changed(time_point now);
   /// Sets the current incarnation of the local upstream, or nothing if there is none.
@@ -53,7 +55,7 @@
   void update_seen(const claims::map_update& update, time_point now);
   /// Returns what changed in the map of `service` since `revision`, or nothing without a map.
   [[nodiscard]] std::optional<claims::map_update> changes_since(const std::string& service,
-                                                                std::uint64_t revision) const;
+                                                                store_revision revision) const;
   /// Handles the report of an owner. Returns the reply.
   claims::leader_reply report_received(const claims::owner_report& report, time_point now);
   /// Fetches a newer claim map of `service` from its leader, or else from the store.
@@ -69,6 +71,11 @@
   void carry_out(const claims::holder_action& action);
   void carry_out(const std::string& service, const claims::leader_action& action);
 
+  [[nodiscard]] bool in_era(const std::string& service, store_era era) const;
+  /// Deletes an object of the era before `era`, which nobody reads any more.
+  boost::asio::awaitable<void> discard_of_earlier_era(std::string kind, std::string name,
+                                                      store_era era);
+
   boost::asio::awaitable<void> call_lease(platform::call call, bool writes);
   boost::asio::awaitable<void> report(claims::send_report outgoing);
   boost::asio::awaitable<void> grant(claims::grant_keys request);
@@ -100,6 +107,7 @@
   bool relocating_ = false;
   heartbeat_responder heartbeats_;
   std::map<std::string, std::unique_ptr<claims::leader>> leaders_;
+  time_point earlier_leases_end_{};  ///< Of all leases that were granted in earlier eras.
   std::map<std::string, bool> is_candidate_;
   std::map<std::string, time_point> refresh_after_;
   time_point next_load_update_{};
--- a/src/fleet/internal/fleet_view.h
+++ b/src/fleet/internal/fleet_view.h
@@ -19,7 +19,7 @@
 /// The owner of a key according to the local view.
 struct key_owner {
   std::string agent;
-  std::uint64_t map_revision = 0;
+  store_revision map_revision = 0;
 };
 
 /// Cached state of the fleet with its versions, which never go backwards.
@@ -53,19 +53,24 @@
   /// Stores a single claim that a peer sent; it overrides older maps. Returns false if the complete
   /// map should be fetched: the claim is not newer than the map, or there are too many hints.
   bool add_owner_hint(const std::string& service, const claims::claim& claim,
-                      std::uint64_t revision);
+                      store_revision revision);
   [[nodiscard]] const claims::claim_map* find_map(const std::string& service) const;
   [[nodiscard]] std::optional<key_owner> owner_of(const std::string& service,
                                                   claims::shard_key key) const;
-  [[nodiscard]] std::uint64_t map_revision(const std::string& service) const;
+  [[nodiscard]] store_revision map_revision(const std::string& service) const;
 
   [[nodiscard]] const std::string& self() const { return self_; }
 
  private:
   struct cached_map {
     claims::claim_map map;
+    /// The last map of an earlier era, while keys of `map` are unsettled: their owners keep them.
+    std::optional<claims::claim_map> earlier;
     /// Claims that peers sent, each with the revision of its map.
-    std::vector<std::pair<claims::claim, std::uint64_t>> hints;
+    std::vector<std::pair<claims::claim, store_revision>> hints;
+
+    /// Returns the claim on `key`, or null.
+    [[nodiscard]] const claims::claim* find(claims::shard_key key) const;
   };
   std::string self_;
   routing::route_table routes_;
--- a/src/fleet/internal/store_client.cpp
+++ b/src/fleet/internal/store_client.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "masticshunt/support/clock.h"
+#include "platform/headers.h"
 
 namespace masticshunt::fleet {
 
@@ -51,14 +52,32 @@
     co_return answer;
   }
   answer.verdict = platform::store_verdict_of(exchange.status);
+  answer.era = platform::store_era_in(exchange.head).value_or(era());
   answer.body = exchange.body->buffered();
   const bool refused = answer.verdict == platform::store_verdict::refused;
   if (refused) ++counts_.refused;
   set_reached(!refused, "status=" + std::to_string(exchange.status));
   if (unanswered_at_) regained(*std::exchange(unanswered_at_, std::nullopt));
+  if (answer.era < era()) {
+    answer.verdict.reset();
+    support::event_text line("store_answer_outdated");
+    line.add("era", answer.era).add("known", era()).add("call", call_request.method);
+    log_.line(support::line_class::process, line.text(), boot_now());
+  }
+  era_seen(answer.era);
   co_return answer;
 }
 
+void store_client::era_seen(store_era era) {
+  if (era_ && era <= *era_) return;
+  const auto before = std::exchange(era_, era);
+  support::event_text line("store_era");
+  line.add("era", era);
+  if (before) line.add("before", *before);
+  log_.line(support::line_class::process, line.text(), boot_now());
+  for (const auto& action : on_era_) action(era);
+}
+
 void store_client::regained(time_point lost_at) const {
   for (const auto& action : on_regained_) action(lost_at);
 }
@@ -101,7 +120,7 @@
     const auto answer = co_await call(platform::list_objects(kind, after, data), list_timeout);
     if (!answer.done()) co_return std::nullopt;
     failure reason;
-    auto page = platform::decode_page(answer.body, reason);
+    auto page = platform::decode_page(answer.body, reason, answer.era);
     if (!page) {
       log_.line(support::line_class::process,
                 "store_list_unreadable kind=" + kind + " why=\"" + reason.describe() + "\"",
@@ -110,6 +129,8 @@
     }
     log_unreadable(kind, page->unreadable);
     if (listing.revision == 0) listing.revision = page->revision;
+    // The pages before it are of an era whose objects may be gone.
+    if (era_of(listing.revision) != answer.era) co_return std::nullopt;
     if (!page->objects.empty()) after = page->objects.back().name;
     std::ranges::move(page->objects, std::back_inserter(listing.objects));
     if (!page->more || page->objects.empty()) co_return listing;
--- a/src/fleet/internal/store_client.h
+++ b/src/fleet/internal/store_client.h
@@ -27,8 +27,16 @@
 struct store_answer {
   bool too_large = false;  ///< The store answered with more than `document_bytes_max`.
   std::optional<platform::store_verdict> verdict;
+  store_era era = 0;  ///< In which the store answered.
   std::string body;
   [[nodiscard]] bool done() const { return verdict == platform::store_verdict::done; }
+  /// Decodes the body as an object, or as the changes of a watch, with revisions of `era`.
+  [[nodiscard]] std::optional<platform::stored_object> object(failure& reason) const {
+    return platform::decode_object(body, reason, era);
+  }
+  [[nodiscard]] std::optional<platform::stored_changes> changes(failure& reason) const {
+    return platform::decode_changes(body, reason, era);
+  }
 };
 
 /// Counters of calls by result.
@@ -38,7 +46,8 @@
   std::uint64_t unanswered = 0;
 };
 
-/// Sends calls to the store.
+/// Sends calls to the store, and follows its era: an answer of an earlier era than another one
+/// before it tells nothing about the present, and counts as no answer.
 ///
 /// Thread safety: none.
 class store_client {
@@ -58,6 +67,14 @@
   void on_regained(std::function<void(time_point lost_at)> action) {
     on_regained_.push_back(std::move(action));
   }
+  /// Adds a callback that runs when the store is known to be in a later era, also in the first one
+  /// that is known, before the answer that showed it is returned.
+  void on_era(std::function<void(store_era)> action) { on_era_.push_back(std::move(action)); }
+  /// A peer has seen the store in `era`.
+  void era_seen(store_era era);
+  [[nodiscard]] bool era_known() const { return era_.has_value(); }
+  /// Returns the latest era known; that of a store which states none, if none is known.
+  [[nodiscard]] store_era era() const { return era_.value_or(first_store_era); }
   /// Takes all connections opened so far for dead although nothing has failed on them.
   void suspect_connections();
 
@@ -81,6 +98,8 @@
   std::optional<time_point> unreachable_since_;
   std::optional<time_point> unanswered_at_;  ///< Of the last call, if no other was answered since.
   std::vector<std::function<void(time_point)>> on_regained_;
+  std::optional<store_era> era_;
+  std::vector<std::function<void(store_era)>> on_era_;
 };
 
 }  // namespace masticshunt::fleet
--- a/src/fleet/internal/store_watch.cpp
+++ b/src/fleet/internal/store_watch.cpp
@@ -31,6 +31,13 @@
   store_.on_regained([this](time_point lost_at) {
     if (waiting_ != nullptr && waiting_since_ < lost_at) waiting_->request();
   });
+  store_.on_era([this](store_era era) { era_began(era); });
+}
+
+void store_watch::era_began(store_era era) {
+  if (!revision_ || era_of(*revision_) == era) return;
+  forget_history();
+  if (waiting_ != nullptr) waiting_->request();
 }
 
 asio::awaitable<void> store_watch::wait(duration span) {
@@ -81,7 +88,7 @@
     co_return !answer.too_large;
   }
   failure reason;
-  const auto changes = answer.done() ? platform::decode_changes(answer.body, reason) : std::nullopt;
+  const auto changes = answer.done() ? answer.changes(reason) : std::nullopt;
   if (!changes) {
     log_lost_watch(answer, opened);
     co_return false;
@@ -94,21 +101,22 @@
 asio::awaitable<void> store_watch::confirm() {
   if (!revision_ || confirming_) co_return;
   confirming_ = true;
+  const store_revision from = *revision_;
   store_answer answer;
   // The second call uses a new connection.
   for (int calls = 0; calls < confirmation_calls_max && !answer.verdict; ++calls)
-    answer = co_await store_.call(
-        platform::watch_objects(kind_, *revision_, std::chrono::milliseconds{1},
-                                platform::freshness::current),
-        confirmation_timeout);
+    answer = co_await store_.call(platform::watch_objects(kind_, from, std::chrono::milliseconds{1},
+                                                          platform::freshness::current),
+                                  confirmation_timeout);
   confirming_ = false;
+  if (answer.era != era_of(from)) co_return;
   if (answer.verdict == platform::store_verdict::history_gone) {
     forget_history();
     store_.suspect_connections();
     co_return;
   }
   failure reason;
-  const auto changes = answer.done() ? platform::decode_changes(answer.body, reason) : std::nullopt;
+  const auto changes = answer.done() ? answer.changes(reason) : std::nullopt;
   if (!changes) co_return;
   const bool was_late = !changes->changes.empty() && waiting_ != nullptr;
   apply(*changes);
--- a/src/fleet/internal/store_watch.h
+++ b/src/fleet/internal/store_watch.h
@@ -16,7 +16,9 @@
 /// Follows a kind of objects: lists it, then watches for changes, and lists again when the store no
 /// longer has the history.
 ///
-/// A watch whose connection may be dead is given up and started again. Thread safety: none.
+/// A watch whose connection may be dead is given up and started again. When the store enters
+/// another era, the kind is listed again: a watch from an earlier revision would miss what was
+/// lost. Thread safety: none.
 class store_watch {
  public:
   struct handlers {
@@ -24,7 +26,7 @@
     std::function<void(const platform::stored_change&)> changed;
     /// The store has answered: everything up to this revision was passed to the other handlers. An
     /// answer that was late may state an earlier revision than the last one.
-    std::function<void(std::uint64_t revision)> up_to_date;
+    std::function<void(store_revision)> up_to_date;
   };
   /// How the kind is read: its first listing, and everything after it.
   struct reading {
@@ -46,6 +48,7 @@
   boost::asio::awaitable<void> wait(duration span);
   void apply(const platform::stored_changes& changes);
   void forget_history();
+  void era_began(store_era era);
   void log_lost_watch(const store_answer& answer, time_point opened);
 
   store_client& store_;
@@ -54,7 +57,7 @@
   handlers on_;
   boost::asio::steady_timer pause_;
   platform::freshness listing_data_;
-  std::optional<std::uint64_t> revision_;  ///< Up to which changes were passed on.
+  std::optional<store_revision> revision_;  ///< Up to which changes were passed on.
   /// Of the call that waits for changes; null between calls.
   cancellation* waiting_ = nullptr;
   time_point waiting_since_{};
--- a/tests/fleet/keyed_agent.h
+++ b/tests/fleet/keyed_agent.h
@@ -96,6 +96,7 @@
                                   .ip = net_ + "10",
                                   .zone = "zone",
                                   .region = "region",
+                                  .first_start = true,
                                   .peer_port = 7504,
                                   .upstream = net_ + "100:7510",
                                   .service = "ledger",
--- a/tests/process_soak/agents.h
+++ b/tests/process_soak/agents.h
@@ -39,24 +39,15 @@
 class agent {
  public:
   agent(std::string program, agent_config config, std::filesystem::path directory)
-      : program_(std::move(program)), config_(std::move(config)), directory_(std::move(directory)) {
-    std::ofstream output(config_path());
-    output << "[agent]\nname = " << config_.name << "\nip = " << config_.ip
-           << "\nzone = " << config_.zone << "\nregion = " << config_.region
-           << "\n[listen]\ncallers = " << config_.callers()
-           << "\nreadiness = " << config_.readiness()
-           << "\nupstream = " << config_.upstream_listener()
-           << "\npeer_port = 7504\nmetrics_port = 7505\n[upstream]\naddress = " << config_.upstream
-           << "\nservice = " << config_.service
-           << "\nheartbeat = 300ms\ngrants = " << config_.grants
-           << "\n[store]\naddress = " << config_.store << "\n"
-           << config_.more_settings;
-  }
+      : program_(std::move(program)),
+        config_(std::move(config)),
+        directory_(std::move(directory)) {}
   ~agent() { stop(SIGKILL); }
   agent(const agent&) = delete;
   agent& operator=(const agent&) = delete;
 
   void start() {
+    write_settings(!std::exchange(started_, true));
     const std::string config_file = config_path().string();
     const std::string log = (directory_ / (config_.name + ".log")).string();
     std::string subcommand = "fleet-agent";
@@ -91,6 +82,21 @@
   [[nodiscard]] pid_t process() const { return process_; }
 
  private:
+  /// `first_start`: as the platform says when the whole fleet starts for the first time.
+  void write_settings(bool first_start) const {
+    std::ofstream output(config_path());
+    output << "[agent]\nname = " << config_.name << "\nip = " << config_.ip
+           << "\nzone = " << config_.zone << "\nregion = " << config_.region
+           << "\nfirst_start = " << (first_start ? "true" : "false")
+           << "\n[listen]\ncallers = " << config_.callers()
+           << "\nreadiness = " << config_.readiness()
+           << "\nupstream = " << config_.upstream_listener()
+           << "\npeer_port = 7504\nmetrics_port = 7505\n[upstream]\naddress = " << config_.upstream
+           << "\nservice = " << config_.service
+           << "\nheartbeat = 300ms\ngrants = " << config_.grants
+           << "\n[store]\naddress = " << config_.store << "\n"
+           << config_.more_settings;
+  }
   /// Runs the program in this new process. It ends with the tester, in whichever way that ends: an
   /// agent that stayed would take the requests of a later test at the same address.
   [[noreturn]] static void become_agent(char* const* arguments, const char* log, pid_t tester) {
@@ -111,6 +117,7 @@
   std::string program_;
   agent_config config_;
   std::filesystem::path directory_;
+  bool started_ = false;
   pid_t process_ = 0;
 };
 
--- a/tests/process_soak/soak_run.h
+++ b/tests/process_soak/soak_run.h
@@ -24,6 +24,8 @@
   std::chrono::seconds fault_duration{15};  ///< How long faults are injected.
   std::size_t agents = 6;
   bool grants_by_heartbeat = false;  ///< Upstreams take their keys with answers to heartbeats.
+  /// How often the store comes back from an older copy, beside the other faults.
+  std::size_t drills = 0;
   /// Second octet of all loopback addresses; must differ between parallel runs.
   std::uint64_t net = 0;
   std::filesystem::path directory;  ///< Receives the settings and logs of the agents.
@@ -36,6 +38,7 @@
   explicit soak_run(soak_options options)
       : options_(std::move(options)),
         random_(options_.seed),
+        drill_random_(options_.seed),
         store_(context_.get_executor(), options_.seed),
         callers_(context_.get_executor(), {.connect_timeout = std::chrono::seconds{1}}) {}
 
@@ -56,6 +59,7 @@
     };
     spawn(sweep());
     spawn(inject_faults());
+    if (options_.drills > 0) spawn(drill_store());
     for (std::size_t i = 0; i < options_.agents; ++i) spawn(send_requests(i));
     context_.run();
     return checker_.violation_count() == 0;
@@ -230,6 +234,7 @@
         if (each->settings().zone == "zone-0") sum += each->arrived();
       return sum;
     };
+    evacuated_.insert("zone-0");
     store_.put("evacuations", "zone-0", nlohmann::json::object());
     co_await sleep(evacuate_bound);
     const auto before = arrived();
@@ -237,9 +242,46 @@
     if (arrived() != before)
       checker_.report_violation("an evacuated zone got " + std::to_string(arrived() - before) +
                                 " requests after the bound");
+    evacuated_.clear();
     store_.remove("evacuations", "zone-0");
   }
 
+  /// Lets the store go away now and then, and come back from a copy that is some seconds old.
+  boost::asio::awaitable<void> drill_store() {
+    static constexpr duration copy_interval = std::chrono::milliseconds{200};
+    static constexpr std::size_t copies_max = 25;
+    std::deque<store::content> copies;
+    co_await sleep(std::chrono::seconds{5});
+    for (std::size_t drill = 0; drill < options_.drills; ++drill) {
+      const auto steps = 20 + drill_random_() % 25;
+      for (std::size_t i = 0; i < steps; ++i) {
+        copies.push_back(store_.data());
+        if (copies.size() > copies_max) copies.pop_front();
+        co_await sleep(copy_interval);
+      }
+      const auto& copy = copies[drill_random_() % copies.size()];
+      std::printf("%7.3f s  drill: the store loses revisions %llu to %llu\n",
+                  std::chrono::duration<double>(boot_now() - start_time_).count(),
+                  static_cast<unsigned long long>(copy.revision + 1),
+                  static_cast<unsigned long long>(store_.data().revision));
+      store_.set_mode(store_mode::unresponsive);
+      co_await sleep(std::chrono::milliseconds{drill_random_() % 1'500});
+      store_.restore(copy);
+      store_.set_mode(store_mode::normal);
+      operator_writes_again();
+    }
+  }
+  void operator_writes_again() {
+    store_.put("config", "main", desired_state(state_version_));
+    for (const auto& each : upstreams_) {
+      const auto& zone = each->settings().zone;
+      if (evacuated_.contains(zone))
+        store_.put("evacuations", zone, nlohmann::json::object());
+      else
+        store_.remove("evacuations", zone);
+    }
+  }
+
   boost::asio::awaitable<void> inject_fault() {
     using fault = boost::asio::awaitable<void> (soak_run::*)(std::size_t index, duration span);
     struct named_fault {
@@ -356,10 +398,12 @@
   }
   boost::asio::awaitable<void> evacuate_zone(std::size_t index, duration span) {
     const auto zone = upstreams_[index]->settings().zone;
+    evacuated_.insert(zone);
     store_.put("evacuations", zone, nlohmann::json::object());
     co_await sleep(span);
     for (const auto& each : upstreams_)
       if (each->settings().zone == zone) each->turn_cold(each->settings().cold_time);
+    evacuated_.erase(zone);
     store_.remove("evacuations", zone);
   }
   /// Opens connections that send a body but for its end.
@@ -391,6 +435,7 @@
   soak_options options_;
   boost::asio::io_context context_{1};
   std::mt19937_64 random_;
+  std::mt19937_64 drill_random_;  ///< Of its own, so that the other faults of a seed stay the same.
   time_point start_time_ = boot_now();
   invariant_checker checker_;
   store store_;
@@ -400,6 +445,7 @@
   std::vector<std::unique_ptr<upstream>> upstreams_;
   std::vector<std::unique_ptr<agent>> agents_;
   std::uint64_t state_version_ = 1;
+  std::set<std::string> evacuated_;
   bool measuring_ = false;
   bool stopping_ = false;
   int measured_requests_ = 0;
--- a/tests/process_soak/store.h
+++ b/tests/process_soak/store.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "fleet/internal/http_server.h"
+#include "masticshunt/base/store_revision.h"
 #include "masticshunt/support/clock.h"
 
 namespace masticshunt::process_soak {
@@ -33,11 +34,30 @@
 /// How the store treats calls.
 enum class store_mode { normal, busy, unresponsive, drops_responses, applies_late, slow };
 
-/// Objects by kind and name with one revision counter, lists, conditional writes and watches.
+/// Objects by kind and name with one revision counter, lists, conditional writes and watches. It
+/// can come back from an older copy of itself, in the next era.
 ///
 /// Life cycle: construct, `start`. Thread safety: none.
 class store {
  public:
+  struct object {
+    nlohmann::json spec;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+  };
+  struct event {
+    std::uint64_t revision;
+    std::string kind;
+    nlohmann::json change;
+  };
+  /// All that the store knows.
+  struct content {
+    std::uint64_t revision = 1;
+    std::uint64_t compacted_revision = 0;
+    std::map<std::string, std::map<std::string, object>> objects_by_kind;
+    std::deque<event> history;
+  };
+
   store(const boost::asio::any_io_executor& executor, std::uint64_t seed)
       : executor_(executor),
         server_(executor, [this](auto request) { receive(std::move(request)); }),
@@ -47,23 +67,32 @@
   void set_mode(store_mode mode) { mode_ = mode; }
   /// Discards the change history, and answers open watches with 410 (history gone).
   void compact() {
-    history_.clear();
-    compacted_revision_ = revision_;
+    data_.history.clear();
+    data_.compacted_revision = data_.revision;
     for (auto& each : std::exchange(watches_, {})) respond(each.request, 410, {});
   }
   /// Forgets the open watches without closing their connections, which stay silent.
   void forget_watches() {
     for (auto& each : std::exchange(watches_, {})) unanswered_.push_back(std::move(each.request));
   }
+  [[nodiscard]] const content& data() const { return data_; }
+  /// Comes back from a copy: what was written since is lost, and revisions are given out again.
+  /// Calls that wait get no answer.
+  void restore(content copy) {
+    data_ = std::move(copy);
+    ++era_;
+    for (const auto& each : std::exchange(watches_, {})) each.request->respond({.abort = true});
+    for (const auto& each : std::exchange(unanswered_, {})) each->respond({.abort = true});
+  }
   /// Writes an object unconditionally, like an operator, in every mode.
   void put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
-    object& stored = objects_by_kind_[kind][name];
+    object& stored = data_.objects_by_kind[kind][name];
     stored.spec = spec;
     record_change(kind, name, stored, false);
   }
   /// Deletes an object unconditionally, like an operator, in every mode.
   void remove(const std::string& kind, const std::string& name) {
-    auto& objects = objects_by_kind_[kind];
+    auto& objects = data_.objects_by_kind[kind];
     const auto found = objects.find(name);
     if (found == objects.end()) return;
     object deleted_object = found->second;
@@ -78,30 +107,20 @@
         ++it;
         continue;
       }
-      respond(it->request, 200, {{"events", nlohmann::json::array()}, {"at", revision_}});
+      respond(it->request, 200, {{"events", nlohmann::json::array()}, {"at", data_.revision}});
       it = watches_.erase(it);
     }
   }
   /// Returns what an object holds; null if there is none.
   [[nodiscard]] nlohmann::json spec(const std::string& kind, const std::string& name) const {
-    const auto objects = objects_by_kind_.find(kind);
-    if (objects == objects_by_kind_.end()) return nullptr;
+    const auto objects = data_.objects_by_kind.find(kind);
+    if (objects == data_.objects_by_kind.end()) return nullptr;
     const auto found = objects->second.find(name);
     return found == objects->second.end() ? nlohmann::json() : found->second.spec;
   }
 
  private:
   using request_ptr = std::shared_ptr<fleet::server_request>;
-  struct object {
-    nlohmann::json spec;
-    std::uint64_t revision = 0;
-    std::uint64_t created = 0;
-  };
-  struct event {
-    std::uint64_t revision;
-    std::string kind;
-    nlohmann::json change;
-  };
   struct watch {
     std::string kind;
     std::uint64_t from;
@@ -115,18 +134,19 @@
             {"spec", stored.spec},
             {"status", nullptr}};
   }
-  static void respond(const request_ptr& request, unsigned status, const nlohmann::json& body) {
-    request->respond({.status = status,
-                      .headers = "Content-Type: application/json\r\n",
-                      .text = body.is_null() ? "{}" : body.dump()});
+  void respond(const request_ptr& request, unsigned status, const nlohmann::json& body) const {
+    request->respond(
+        {.status = status,
+         .headers = "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
+         .text = body.is_null() ? "{}" : body.dump()});
   }
 
   void record_change(const std::string& kind, const std::string& name, object& stored,
                      bool deleted) {
-    stored.revision = ++revision_;
-    if (stored.created == 0) stored.created = revision_;
-    history_.push_back(
-        {revision_, kind, {{"object", to_json(name, stored)}, {"deleted", deleted}}});
+    stored.revision = ++data_.revision;
+    if (stored.created == 0) stored.created = data_.revision;
+    data_.history.push_back(
+        {data_.revision, kind, {{"object", to_json(name, stored)}, {"deleted", deleted}}});
     for (auto it = watches_.begin(); it != watches_.end();) {
       if (it->kind != kind) {
         ++it;
@@ -138,9 +158,9 @@
   }
   nlohmann::json events_since(const std::string& kind, std::uint64_t from) const {
     auto events = nlohmann::json::array();
-    for (const auto& each : history_)
+    for (const auto& each : data_.history)
       if (each.revision > from && each.kind == kind) events.push_back(each.change);
-    return {{"events", std::move(events)}, {"at", revision_}};
+    return {{"events", std::move(events)}, {"at", data_.revision}};
   }
 
   void receive(request_ptr request) {
@@ -189,7 +209,7 @@
     const auto method = request->head.method();
     using boost::beast::http::verb;
     if (method == verb::get && name.empty()) return list_or_watch(kind, parameters, request);
-    auto& objects = objects_by_kind_[kind];
+    auto& objects = data_.objects_by_kind[kind];
     const auto found = objects.find(name);
     if (method == verb::get) {
       return found == objects.end() ? respond(request, 404, {})
@@ -212,7 +232,7 @@
     if (body.is_discarded()) return respond(request, 400, {});
     const bool creates = name.empty();
     if (creates) name = body.at("metadata").at("name").get<std::string>();
-    auto& objects = objects_by_kind_[kind];
+    auto& objects = data_.objects_by_kind[kind];
     const auto found = objects.find(name);
     if (creates && found != objects.end())
       return respond(request, 409, to_json(name, found->second));
@@ -231,7 +251,8 @@
   void list_or_watch(const std::string& kind, const std::string& parameters,
                      const request_ptr& request) {
     if (const auto from = parse_parameter(parameters, "watch=")) {
-      if (*from < compacted_revision_) return respond(request, 410, {});
+      if (*from < data_.compacted_revision || *from > data_.revision)
+        return respond(request, 410, {});
       const auto pending = events_since(kind, *from);
       if (!pending.at("events").empty()) return respond(request, 200, pending);
       const auto wait =
@@ -240,9 +261,9 @@
       return;
     }
     auto items = nlohmann::json::array();
-    for (const auto& [name, stored] : objects_by_kind_[kind])
+    for (const auto& [name, stored] : data_.objects_by_kind[kind])
       items.push_back(to_json(name, stored));
-    respond(request, 200, {{"items", items}, {"hasMore", false}, {"at", revision_}});
+    respond(request, 200, {{"items", items}, {"hasMore", false}, {"at", data_.revision}});
   }
   static std::optional<std::uint64_t> parse_parameter(const std::string& parameters,
                                                       std::string_view name) {
@@ -255,10 +276,8 @@
   fleet::http_server server_;
   std::mt19937_64 random_;
   store_mode mode_ = store_mode::normal;
-  std::uint64_t revision_ = 1;
-  std::uint64_t compacted_revision_ = 0;
-  std::map<std::string, std::map<std::string, object>> objects_by_kind_;
-  std::deque<event> history_;
+  std::uint64_t era_ = first_store_era;
+  content data_;
   std::vector<watch> watches_;
   std::vector<request_ptr> unanswered_;  ///< Calls that are never answered.
 };
--- a/tools/process_soak.cpp
+++ b/tools/process_soak.cpp
@@ -25,6 +25,7 @@
   --also=<file>     Also plays the seeds that begin this file's lines.
   --trouble=<s>     Seconds of faults in each run [default: 15].
   --agents=<n>      Agents, 2 to 60 [default: 6].
+  --drills=<n>      Times that the store comes back from an older copy [default: 0].
   --grants=<way>    How upstreams take keys: call or heartbeat [default: call].
   --net=<n>         Second part of all addresses, 0 to 255, for runs side by side [default: 0].
   --logs=<dir>      Where settings and logs go [default: process-soak-logs].
@@ -58,6 +59,7 @@
                   .fault_duration = std::chrono::seconds{number("--trouble")},
                   .agents = number("--agents"),
                   .grants_by_heartbeat = options.at("--grants").asString() == "heartbeat",
+                  .drills = number("--drills"),
                   .net = number("--net"),
                   .directory = std::filesystem::path(options.at("--logs").asString()) /
                                ("seed-" + std::to_string(seed))});
