Registrar: the own registration is published again in each era of the store

What callers saw: after a drill, an upstream whose registration was written after the copy was used by its own agent only; peers never heard of it again.

Cause: the agent compared its state with what it had published, and the store had lost that. If the restored listing held an older registration, the difference was noticed; if it held none, it wasn't.

Change: with each new era of the store the agent takes its registration for not published.

--- a/src/fleet/internal/upstream_registrar.cpp
+++ b/src/fleet/internal/upstream_registrar.cpp
@@ -42,6 +42,8 @@
       gate_(gate),
       log_(log),
       watch_(suspicion_timeout(settings)) {
+  // The store may have lost the registration with all else that was written last.
+  store_.on_era([this](store_era /*era*/) { published_.reset(); });
   gate_.on_leaving([this](const auto& incarnation) { upstream_leaving(incarnation); });
 }
 
--- a/tests/fleet/restored_store_test.cpp
+++ b/tests/fleet/restored_store_test.cpp
@@ -23,3 +23,18 @@
   fleet.run_for(seconds{2});
   expect_equal(fleet.agents_at(3), 2U);
 }
+
+// Guards against a registration that is lost with the last writes, as of an agent that has just
+// been added: no peer would use its upstream any more.
+Test(restored_store, an_upstream_whose_registration_was_lost_is_published_again) {
+  small_fleet fleet(2);
+  auto copy = fleet.store().data();
+  copy.objects_by_kind["masticshunt-upstreams"].erase("vm-1");
+  fleet.start_upstreams();
+  expect_equal(fleet.store().spec("masticshunt-upstreams", "vm-1").at("stage"), "ready");
+  fleet.store().restore(copy);
+  fleet.run_for(milliseconds{1'500});
+  const auto published = fleet.store().spec("masticshunt-upstreams", "vm-1");
+  expect_false(published.is_null());
+  expect_equal(published.at("stage"), "ready");
+}
