--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 	$(BUILD)/policy_bench --seed $(SEED) --chain $(STEPS)
 	$(BUILD)/process_soak --program=$(BUILD)/masticshunt --seed=$(SEED) --seeds=$(SEEDS) \
 	  --also=tests/process_soak/failed_seeds.txt --logs=$(BUILD)/process-soak-logs
+	$(BUILD)/process_soak --program=$(BUILD)/masticshunt --seed=$(SEED) --seeds=$(SEEDS) \
+	  --drills=2 --logs=$(BUILD)/process-soak-logs-drills
+	$(BUILD)/drill_soak --seed $(SEED)
 
 capacity: build
 	$(BUILD)/capacity
