--- a/tests/broken_answers/agent_pair.h
+++ b/tests/broken_answers/agent_pair.h
@@ -41,7 +41,6 @@
     heartbeats_ = std::make_unique<process_soak::heartbeats>(
         context_, net_ + "100:7510", agents_[beside_target]->config().upstream_listener(), slots);
     for (const auto i : {through_peer, beside_target}) await_service(i);
-    serves_ = true;
   }
   ~agent_pair() {
     agents_.clear();
@@ -60,25 +59,9 @@
   }
 
   /// Sends a request at `agent` while the target answers with `answer`. Returns what the caller
-  /// got. A request that was truthfully refused, as none of it came to the target, played nothing
-  /// and is sent again.
-  caller_answer ask(std::size_t agent, const scripted_answer& answer, route to = route::read,
+  /// got.
+  caller_answer ask(std::size_t agent, scripted_answer answer, route to = route::read,
                     std::size_t body_bytes = 0, duration pause = {}) {
-    constexpr int plays_max = 5;
-    constexpr unsigned refused = 503;
-    for (int play = 1;; ++play) {
-      auto got = ask_once(agent, answer, to, body_bytes, pause);
-      const bool unsent = got.status == refused && target_.arrived(last_path_) == 0;
-      if (!serves_ || !unsent || play == plays_max) return got;
-      run_for(std::chrono::milliseconds{100});
-    }
-  }
-
- private:
-  static constexpr std::size_t slots = 64;
-
-  caller_answer ask_once(std::size_t agent, scripted_answer answer, route to,
-                         std::size_t body_bytes, duration pause) {
     target_.answer_with(std::move(answer));
     const std::string id = "r-" + std::to_string(++last_id_);
     caller_request request{.head = (to == route::read ? "GET /read/" : "POST /write/") + id +
@@ -91,11 +74,13 @@
         context_, client_.ask(agents_.at(agent)->config().callers(), std::move(request)),
         [&result](const std::exception_ptr&, caller_answer got) { result = std::move(got); });
     while (!result) run_for(std::chrono::milliseconds{2});
-    last_path_ = (to == route::read ? "/read/" : "/write/") + id + " ";
-    if (to == route::write) expect_true(target_.arrived(last_path_) <= 1, "run twice");
+    if (to == route::write) expect_true(target_.arrived("/write/" + id + " ") <= 1, "run twice");
     return *result;
   }
 
+ private:
+  static constexpr std::size_t slots = 64;
+
   static nlohmann::json desired_state() {
     const auto to_ledger = [](const char* prefix, const char* kind) {
       return nlohmann::json{{"host", "broken.example"}, {"pathPrefix", prefix}, {"kind", kind},
@@ -154,8 +139,6 @@
   std::vector<std::unique_ptr<process_soak::agent>> agents_;
   std::unique_ptr<process_soak::heartbeats> heartbeats_;
   int last_id_ = 0;
-  std::string last_path_;  ///< Of the last request, as the target reads it.
-  bool serves_ = false;    ///< The agents have served a request.
 };
 
 }  // namespace masticshunt::testing
